Run the timer service on the boot-time clock

The loop's timers were tevent's, which follow the time of day, and so did the clock that parts read. A step of the clock by seconds held every timer back for as long. A suspended host also counted no time.

Times for people (incarnations, stop windows) have a call of their own, timers_wall_ms(). loop_poster() lets parts post calls without knowing the loop.

--- a/src/core/loop.h
+++ b/src/core/loop.h
@@ -24,6 +24,22 @@
 /** Has @p fn called on the loop's thread. Any thread. */
 void loop_post (Loop *loop, LoopFn fn, void *data);
 
+/** Where a part posts calls to, so that tests can stand in for a loop. */
+typedef struct
+{
+  void (*post) (void *target, LoopFn fn, void *data);
+  void *target;
+} Poster;
+
+/** @return a poster to @p loop. */
+Poster loop_poster (Loop *loop);
+
+static inline void
+poster_post (Poster poster, LoopFn fn, void *data)
+{
+  poster.post (poster.target, fn, data);
+}
+
 /** Runs until loop_stop(). */
 void loop_run (Loop *loop);
 
--- a/src/core/timers.h
+++ b/src/core/timers.h
@@ -12,6 +12,7 @@
 typedef struct
 {
   int64_t (*now_ms) (Timers *timers);
+  int64_t (*wall_ms) (Timers *timers);
   Timer *(*start) (Timers *timers, const void *ctx, int64_t delay_ms, TimerFn fn, void *data);
 } TimersOps;
 
@@ -20,13 +21,21 @@
   const TimersOps *ops;
 };
 
-/** @return wall-clock milliseconds since the epoch, or the virtual time of a run. */
+/** @return milliseconds of the boot-time clock, which no one sets and which goes on while the host is
+ * suspended; or the virtual time of a run. */
 static inline int64_t
 timers_now_ms (Timers *timers)
 {
   return timers->ops->now_ms (timers);
 }
 
+/** @return wall-clock milliseconds since the epoch, for times that people give or read. It may jump. */
+static inline int64_t
+timers_wall_ms (Timers *timers)
+{
+  return timers->ops->wall_ms (timers);
+}
+
 /** Starts a one-shot timer. @return a talloc object under @p ctx; talloc_free() stops it. It frees
  * itself after it has fired, before @p fn is called: clear stored pointers in @p fn. */
 static inline Timer *
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -253,7 +253,7 @@
   h->control = control;
   h->settings = settings;
   /* Wall-clock milliseconds: a host that is started again later has a higher incarnation. */
-  h->incarnation = (uint64_t)timers_now_ms (loop_timers (control));
+  h->incarnation = (uint64_t)timers_wall_ms (loop_timers (control));
   rng_seed (&h->rng, h->incarnation);
   h->config = config_store_new (h);
   if (!make_network (h))
--- a/tests/fakes/virtual_timers.c
+++ b/tests/fakes/virtual_timers.c
@@ -131,7 +131,7 @@
   return add ((VirtualTimers *)timers, NULL, ctx, delay_ms, fn, data);
 }
 
-static const TimersOps OPS = { now_ms, start };
+static const TimersOps OPS = { now_ms, now_ms, start };
 
 static int
 destroy (VirtualTimers *vt)
@@ -219,7 +219,7 @@
   return add (view->owner, view, ctx, delay_ms, fn, data);
 }
 
-static const TimersOps VIEW_OPS = { view_now_ms, view_start };
+static const TimersOps VIEW_OPS = { view_now_ms, view_now_ms, view_start };
 
 TimersView *
 timers_view_new (const void *ctx, VirtualTimers *timers)
