Send a request once per exchange, also on kept connections

libcurl sends a request again by itself when a kept connection turns out to be closed. Until now this was ruled out by a connection of its own for each call that must not run twice, which costs a handshake.

Also for the users' platform: answer headers can be listed, idle times of connections bounded, read and idle timeouts of the server set apart, and a request whose end is ambiguous (two lengths, a length and chunks, an unknown encoding) is a fault that ends its connection.

--- a/src/api/request_attempt.c
+++ b/src/api/request_attempt.c
@@ -61,7 +61,7 @@
                              .body_len = r->model ? r->model->forward_len : r->body_len,
                              .timeout_ms = r->deadline_ms - a->started_ms + TIMEOUT_SLACK_MS,
                              .many_small_reads = r->model && r->model->stream,
-                             .run_once = !r->idempotent };
+                             .own_connection = !r->idempotent };
   size_t n = 0;
   BackendCall *call;
 
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -8,7 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "route/failure.h"
+#include "backend/failure.h"
 
 typedef struct Backend Backend;
 typedef struct BackendCall BackendCall;
@@ -24,7 +24,8 @@
   size_t body_len;
   int64_t timeout_ms;
   bool many_small_reads; /* a stream: keep the memory for it low */
-  bool run_once;         /* must not be sent again on a fresh connection by the adapter */
+  bool own_connection;   /* must not share one with other requests */
+  int64_t max_idle_ms;   /* of a kept connection that may be used; 0: the adapter's limit */
 } BackendRequest;
 
 typedef enum
@@ -45,6 +46,8 @@
   void (*failed) (void *data, FailurePoint point, bool timed_out);
 } BackendEvents;
 
+typedef void (*BackendHeaderFn) (void *data, const char *name, const char *value);
+
 typedef struct
 {
   BackendCall *(*start) (Backend *backend, const BackendRequest *request,
@@ -52,6 +55,7 @@
   FailurePoint (*cancel) (BackendCall *call);
   void (*resume) (BackendCall *call);
   const char *(*header) (BackendCall *call, const char *name);
+  void (*each_header) (BackendCall *call, BackendHeaderFn fn, void *data);
 } BackendOps;
 
 struct Backend
@@ -92,3 +96,10 @@
 {
   return call->backend->ops->header (call, name);
 }
+
+/** Calls @p fn for each answer header, in order. */
+static inline void
+backend_each_header (BackendCall *call, BackendHeaderFn fn, void *data)
+{
+  call->backend->ops->each_header (call, fn, data);
+}
--- a/src/backend/backend_http.c
+++ b/src/backend/backend_http.c
@@ -98,7 +98,8 @@
                           .body_len = r->body_len,
                           .connect_timeout_ms = b->connect_timeout_ms,
                           .timeout_ms = r->timeout_ms,
-                          .never_resend = r->run_once,
+                          .own_connection = r->own_connection,
+                          .max_idle_ms = r->max_idle_ms,
                           .receive_buffer = r->many_small_reads ? STREAM_BUFFER_BYTES : 0 };
 
   c->call.backend = backend;
@@ -134,7 +135,13 @@
   return http_exchange_header (((BackendHttpCall *)call)->exchange, name);
 }
 
-static const BackendOps OPS = { start, cancel, resume, header };
+static void
+each_header (BackendCall *call, BackendHeaderFn fn, void *data)
+{
+  http_exchange_each_header (((BackendHttpCall *)call)->exchange, fn, data);
+}
+
+static const BackendOps OPS = { start, cancel, resume, header, each_header };
 
 Backend *
 backend_http_new (const void *ctx, HttpClient *client, int64_t connect_timeout_ms)
--- a/src/cli/cli_drain.c
+++ b/src/cli/cli_drain.c
@@ -208,7 +208,7 @@
                                 .url = url,
                                 .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                                 .timeout_ms = ANSWER_TIMEOUT_MS,
-                                .never_resend = begin };
+                                .own_connection = begin };
 
   d->step = step;
   TALLOC_FREE (d->body);
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -87,6 +87,12 @@
   return call->started_us;
 }
 
+int64_t
+http_call_started_ms (const HttpCall *call)
+{
+  return call->started_ms;
+}
+
 void
 call_resume (HttpCall *call)
 {
@@ -103,7 +109,7 @@
 {
   for (size_t i = 0; i < n_headers; i++)
     MHD_add_response_header (response, headers[i].name, headers[i].value);
-  if (call->server->close_after_answer)
+  if (call->server->close_after_answer || call->fault == HTTP_FAULT_FRAMING)
     MHD_add_response_header (response, "Connection", "close");
   call->response = response;
   call->status = status;
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -2,7 +2,7 @@
 
 #include <talloc.h>
 
-#define MAX_IDLE_CONNECTIONS 64L
+#define MAX_IDLE_CONNECTIONS 1024L
 
 /* One per socket that libcurl watches. */
 typedef struct
@@ -104,6 +104,12 @@
   return 0;
 }
 
+Timers *
+http_client_timers (const HttpClient *client)
+{
+  return loop_timers (client->loop);
+}
+
 static int
 client_destroy (HttpClient *client)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -12,8 +12,8 @@
 typedef struct HttpClient HttpClient;
 typedef struct HttpExchange HttpExchange;
 
-/** How far an exchange got before it failed. Only HTTP_FAILED_CONNECT proves that no byte of the
- * request has left this host. */
+/** How far an exchange got before it failed. Only HTTP_FAILED_CONNECT and HTTP_TIMED_OUT_CONNECT prove
+ * that no byte of the request has left this host. A request is never sent twice by one exchange. */
 typedef enum
 {
   HTTP_COMPLETE,
@@ -46,9 +46,10 @@
   size_t body_len;
   int64_t connect_timeout_ms;
   int64_t timeout_ms;
-  /** Opens a connection of its own. libcurl sends a request again by itself when a reused connection
-   * turns out to be closed; a call that must not run twice has to rule that out. */
-  bool never_resend;
+  /** Opens a connection of its own, which no later exchange uses. */
+  bool own_connection;
+  /** A kept connection that was idle for longer is not used; 0 for libcurl's limit of 118 s. */
+  int64_t max_idle_ms;
   /** Bytes read at once, at least 1024; 0 for libcurl's 16 KB, which each exchange keeps. */
   size_t receive_buffer;
 } HttpRequest;
@@ -56,6 +57,9 @@
 /** @return a talloc object under @p ctx, or NULL. Free its exchanges before it. */
 HttpClient *http_client_new (const void *ctx, Loop *loop);
 
+/** @return the timer service of the client's loop. */
+Timers *http_client_timers (const HttpClient *client);
+
 /** Starts an exchange. @return a talloc object under @p ctx; talloc_free() cancels it. NULL if it
  * could not be set up (nothing was sent). */
 HttpExchange *http_client_start (HttpClient *client, const void *ctx, const HttpRequest *request,
@@ -74,4 +78,12 @@
 /** @return the value of an answer header, or NULL; valid until the exchange is freed. */
 const char *http_exchange_header (HttpExchange *exchange, const char *name);
 
+/** Calls @p fn for each header of the answer, in order. */
+void http_exchange_each_header (HttpExchange *exchange,
+                                void (*fn) (void *data, const char *name, const char *value),
+                                void *data);
+
 int http_exchange_status (HttpExchange *exchange);
+
+/** @return true if the exchange opened a new connection. */
+bool http_exchange_is_connected_anew (HttpExchange *exchange);
--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -23,6 +23,7 @@
   char *body;
   size_t body_len;
   bool added;
+  bool sent;     /* a connection was handed the request */
   bool answered; /* bytes of the answer have come */
   bool headers_done;
   bool aborted;
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -8,13 +8,11 @@
 failure_of (HttpExchange *x, CURLcode code)
 {
   bool timed_out = code == CURLE_OPERATION_TIMEDOUT;
-  long request_bytes = 0;
   curl_off_t uploaded = 0;
 
   if (x->answered)
     return timed_out ? HTTP_TIMED_OUT_PARTIAL : HTTP_FAILED_PARTIAL;
-  curl_easy_getinfo (x->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  if (request_bytes == 0)
+  if (!x->sent)
     return timed_out ? HTTP_TIMED_OUT_CONNECT : HTTP_FAILED_CONNECT;
   if (timed_out)
     return HTTP_TIMED_OUT_SILENT;
@@ -108,6 +106,23 @@
   return size * n;
 }
 
+/* libcurl sends a request again by itself when a kept connection turns out to be closed. Whether that is
+ * allowed is the caller's decision, so the second time is refused. */
+static int
+on_request_ready (void *data, char *local_ip, char *remote_ip, int local_port, int remote_port)
+{
+  HttpExchange *x = data;
+
+  (void)local_ip;
+  (void)remote_ip;
+  (void)local_port;
+  (void)remote_port;
+  if (x->sent)
+    return CURL_PREREQFUNC_ABORT;
+  x->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 static int
 exchange_destroy (HttpExchange *x)
 {
@@ -144,7 +159,11 @@
   curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (e, CURLOPT_HEADERDATA, x);
   curl_easy_setopt (e, CURLOPT_HTTPHEADER, x->headers);
-  if (request->never_resend)
+  curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, on_request_ready);
+  curl_easy_setopt (e, CURLOPT_PREREQDATA, x);
+  if (request->max_idle_ms)
+    curl_easy_setopt (e, CURLOPT_MAXAGE_CONN, (long)((request->max_idle_ms + 999) / 1000));
+  if (request->own_connection)
     {
       curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt (e, CURLOPT_FORBID_REUSE, 1L);
@@ -210,6 +229,25 @@
   return header->value;
 }
 
+void
+http_exchange_each_header (HttpExchange *x,
+                           void (*fn) (void *data, const char *name, const char *value), void *data)
+{
+  struct curl_header *header = NULL;
+
+  while ((header = curl_easy_nextheader (x->easy, CURLH_HEADER, -1, header)))
+    fn (data, header->name, header->value);
+}
+
+bool
+http_exchange_is_connected_anew (HttpExchange *x)
+{
+  long connects = 0;
+
+  curl_easy_getinfo (x->easy, CURLINFO_NUM_CONNECTS, &connects);
+  return connects > 0;
+}
+
 int
 http_exchange_status (HttpExchange *x)
 {
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -162,8 +162,9 @@
     {
       Connection *c = LIST_ENTRY (n, Connection, node);
       int64_t since = c->call ? c->call->started_ms : c->since_ms;
+      int64_t limit = c->call ? server->read_timeout_ms : server->idle_timeout_ms;
 
-      if ((c->call && c->call->delivered) || now - since < server->read_timeout_ms)
+      if ((c->call && c->call->delivered) || now - since < limit)
         continue;
       if (c->call)
         {
@@ -230,7 +231,7 @@
       MHD_OPTION_CONNECTION_LIMIT, o->max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)(o->max_header + POOL_EXTRA), MHD_OPTION_URI_LOG_CALLBACK, server_on_request_line,
       server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_NOTIFY_COMPLETED,
-      server_on_completed, server, MHD_OPTION_END);
+      server_on_completed, server, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
   return server->daemon != NULL;
 }
 
@@ -245,7 +246,7 @@
   server->data = o->data;
   server->max_body = o->max_body;
   server->max_header = o->max_header;
-  server->read_timeout_ms = o->read_timeout_ms;
+  http_server_set_timeouts (server, o->read_timeout_ms, o->idle_timeout_ms);
   server->timeout_answer = talloc_strdup (server, o->timeout_answer ? o->timeout_answer : "{}");
   list_init (&server->connections);
   server->hangup_fd = epoll_create1 (EPOLL_CLOEXEC);
@@ -267,6 +268,13 @@
   return server;
 }
 
+void
+http_server_set_timeouts (HttpServer *server, int64_t read_timeout_ms, int64_t idle_timeout_ms)
+{
+  server->read_timeout_ms = read_timeout_ms;
+  server->idle_timeout_ms = idle_timeout_ms ? idle_timeout_ms : read_timeout_ms;
+}
+
 uint16_t
 http_server_port (const HttpServer *server)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -17,7 +17,8 @@
 {
   HTTP_FAULT_NONE,
   HTTP_FAULT_BODY_TOO_LARGE,
-  HTTP_FAULT_HEADERS_TOO_LARGE
+  HTTP_FAULT_HEADERS_TOO_LARGE,
+  HTTP_FAULT_FRAMING /* the end of the body is ambiguous; the connection ends with the answer */
 } HttpFault;
 
 typedef struct
@@ -39,7 +40,8 @@
   const char *listen; /* "IP:port", port 0 chooses one */
   size_t max_body;
   size_t max_header;
-  int64_t read_timeout_ms; /* to receive one request; also the idle time of a connection */
+  int64_t read_timeout_ms; /* to receive one request */
+  int64_t idle_timeout_ms; /* of a connection without a request; 0 for read_timeout_ms */
   unsigned max_connections;
   const char *timeout_answer; /* JSON body of the 408 for a request that does not arrive in time */
   const HttpServerEvents *events;
@@ -55,6 +57,10 @@
 /** Calls that are being received or answered. */
 size_t http_server_open_calls (const HttpServer *server);
 
+/** Changes the times of HttpServerOptions. */
+void http_server_set_timeouts (HttpServer *server, int64_t read_timeout_ms,
+                               int64_t idle_timeout_ms);
+
 /** Has every answer from now on end its connection. */
 void http_server_close_after_answer (HttpServer *server, bool on);
 
@@ -77,6 +83,9 @@
 /** @return monotonic microseconds at which the request line had been read. */
 int64_t http_call_started_us (const HttpCall *call);
 
+/** @return milliseconds of the loop's clock at that time. */
+int64_t http_call_started_ms (const HttpCall *call);
+
 /** "Name: value" */
 typedef struct
 {
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -20,6 +20,7 @@
   size_t max_body;
   size_t max_header;
   int64_t read_timeout_ms;
+  int64_t idle_timeout_ms;
   char *timeout_answer;
   struct tevent_fd *daemon_event;
   struct tevent_fd *hangup_event;
--- a/src/http/server_request.c
+++ b/src/http/server_request.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include <talloc.h>
 
@@ -30,6 +31,40 @@
   *(size_t *)data += strlen (name) + strlen (value) + 4;
 }
 
+typedef struct
+{
+  int lengths;
+  int encodings;
+  bool fault;
+} Framing;
+
+static void
+add_framing (void *data, const char *name, const char *value)
+{
+  Framing *f = data;
+
+  if (!strcasecmp (name, "Content-Length"))
+    {
+      f->lengths++;
+      f->fault |= !*value || strspn (value, "0123456789") != strlen (value);
+    }
+  if (!strcasecmp (name, "Transfer-Encoding"))
+    {
+      f->encodings++;
+      f->fault |= strcasecmp (value, "chunked") != 0;
+    }
+}
+
+/* A request whose end two parsers could see at different places may carry a second one. */
+static bool
+framing_is_ambiguous (const HttpCall *call)
+{
+  Framing f = { 0 };
+
+  http_call_each_header (call, add_framing, &f);
+  return f.fault || f.lengths + f.encodings > 1;
+}
+
 /* @return false if the rest of the request is not worth reading. */
 static bool
 check_limits (HttpCall *call)
@@ -38,6 +73,11 @@
   const char *length = http_call_header (call, "Content-Length");
   unsigned long long n = length ? strtoull (length, NULL, 10) : 0;
 
+  if (framing_is_ambiguous (call))
+    {
+      call->fault = HTTP_FAULT_FRAMING;
+      return false;
+    }
   http_call_each_header (call, add_size, &header);
   if (header > call->server->max_header)
     call->fault = HTTP_FAULT_HEADERS_TOO_LARGE;
--- a/src/platform/platform_call.c
+++ b/src/platform/platform_call.c
@@ -136,7 +136,7 @@
                        .body_len = r->body ? strlen (r->body) : 0,
                        .connect_timeout_ms = call->route->connect_timeout_ms,
                        .timeout_ms = r->timeout_ms,
-                       .never_resend = !r->repeatable };
+                       .own_connection = !r->repeatable };
   char *url = talloc_asprintf (call, "http://%s%s", call->route->addresses[call->address], r->path);
 
   call->tried++;
--- a/src/route/pool.c
+++ b/src/route/pool.c
@@ -47,7 +47,7 @@
       g_hash_table_remove (pool->by_name, config->name);
       return old;
     }
-  return server_new (pool, config);
+  return route_server_new (pool, config);
 }
 
 static void
--- a/src/route/retry.h
+++ b/src/route/retry.h
@@ -8,7 +8,7 @@
 
 #include "core/err.h"
 #include "core/rng.h"
-#include "route/failure.h"
+#include "backend/failure.h"
 
 /** Limits retries to a share of the requests, so that a failing pool is not loaded several times
  * over. One per pool, under the route lock. */
--- a/src/route/routes.h
+++ b/src/route/routes.h
@@ -9,7 +9,7 @@
 
 #include "core/err.h"
 #include "core/tokens.h"
-#include "route/failure.h"
+#include "backend/failure.h"
 #include "route/retry.h"
 #include "ticket/config.h"
 
--- a/src/route/server.c
+++ b/src/route/server.c
@@ -34,7 +34,7 @@
 }
 
 RouteServer *
-server_new (const void *ctx, const ConfigServer *config)
+route_server_new (const void *ctx, const ConfigServer *config)
 {
   RouteServer *server = talloc_zero (ctx, RouteServer);
 
--- a/src/route/server.h
+++ b/src/route/server.h
@@ -46,7 +46,7 @@
 } RouteServer;
 
 /** @return a talloc object under @p ctx that knows its name and address only. */
-RouteServer *server_new (const void *ctx, const ConfigServer *config);
+RouteServer *route_server_new (const void *ctx, const ConfigServer *config);
 
 /** Takes over what a ticket may change. */
 void server_configure (RouteServer *server, const ConfigServer *config, const RoutesOptions *host);
--- a/tests/unit/request_fakes.c
+++ b/tests/unit/request_fakes.c
@@ -209,7 +209,7 @@
   c->events = events;
   c->data = data;
   c->open = true;
-  c->run_once = request->run_once;
+  c->run_once = request->own_connection;
   c->reached = FAIL_SENT_SILENT;
   snprintf (c->target, sizeof c->target, "%s", request->target);
   snprintf (c->body, sizeof c->body, "%s", request->body ? request->body : "");
--- a/tests/unit/test_backend_http.c
+++ b/tests/unit/test_backend_http.c
@@ -202,7 +202,7 @@
                              .body = body,
                              .body_len = body_len,
                              .timeout_ms = timeout_ms,
-                             .run_once = run_once };
+                             .own_connection = run_once };
 
   memset (body, 'x', body_len);
   w->call = backend_start (w->backend, &request, &EVENTS, w);
--- a/tests/unit/test_http_results.c
+++ b/tests/unit/test_http_results.c
@@ -89,7 +89,7 @@
                           .body_len = body_len,
                           .connect_timeout_ms = PATIENT_MS,
                           .timeout_ms = timeout_ms,
-                          .never_resend = true };
+                          .own_connection = true };
 
   e->exchange = http_client_start (e->client, e, &request, &EVENTS, e);
   CU_ASSERT_PTR_NOT_NULL (e->exchange);
--- a/tests/unit/test_route_cost.c
+++ b/tests/unit/test_route_cost.c
@@ -238,7 +238,7 @@
 
   for (int i = 0; i < 6; i++)
     {
-      servers[i] = server_new (h, &CONFIG);
+      servers[i] = route_server_new (h, &CONFIG);
       prefix_history_add (h, prefixes, i < 3 ? 3 : 2, servers[i], NOW + i);
     }
   prefix_history_holders (h, prefixes, 3, &holders);
@@ -268,7 +268,7 @@
 
   for (int i = 0; i < N_SERVERS; i++)
     {
-      servers[i] = server_new (h, &CONFIG);
+      servers[i] = route_server_new (h, &CONFIG);
       servers[i]->place_key = (uint64_t)i * 0x2545f4914f6cdd1du;
     }
   for (uint64_t i = 0; i < 200; i++)
