--- a/src/api/front_call.c
+++ b/src/api/front_call.c
@@ -7,7 +7,7 @@
 
 #include <talloc.h>
 
-#include "api/error_answer.h"
+#include "relay/error_answer.h"
 #include "core/counter.h"
 #include "api/issue_key.h"
 #include "api/request.h"
--- a/src/api/issue_key.c
+++ b/src/api/issue_key.c
@@ -5,7 +5,7 @@
 #include <talloc.h>
 
 #include "api/access.h"
-#include "api/error_answer.h"
+#include "relay/error_answer.h"
 #include "core/counter.h"
 #include "core/log.h"
 
--- a/src/api/operator.c
+++ b/src/api/operator.c
@@ -4,7 +4,7 @@
 
 #include <talloc.h>
 
-#include "api/error_answer.h"
+#include "relay/error_answer.h"
 #include "core/counter.h"
 #include "http/server.h"
 
--- a/src/api/request_finish.c
+++ b/src/api/request_finish.c
@@ -5,7 +5,7 @@
 #include <jansson.h>
 #include <talloc.h>
 
-#include "api/error_answer.h"
+#include "relay/error_answer.h"
 #include "api/model_answer.h"
 #include "api/request_counters.h"
 #include "core/log.h"
--- a/src/api/request_impl.h
+++ b/src/api/request_impl.h
@@ -5,7 +5,7 @@
 
 #include "api/model_body.h"
 #include "api/request.h"
-#include "api/sse.h"
+#include "relay/sse.h"
 
 #define REQUEST_ID_BYTES 96
 
--- a/src/core/err.c
+++ b/src/core/err.c
@@ -22,6 +22,7 @@
   [ERR_CLIENT_GONE] = { "client_gone", 499, OUTCOME_UNKNOWN, true },
   [ERR_BUDGET_EXHAUSTED] = { "budget_exhausted", 402, OUTCOME_NOT_RUN, false },
   [ERR_BUDGET_UNREACHABLE] = { "budget_unreachable", 503, OUTCOME_NOT_RUN, true },
+  [ERR_BUDGET_HELD] = { "budget_held", 503, OUTCOME_NOT_RUN, true },
   [ERR_OVERLOADED] = { "overloaded", 503, OUTCOME_NOT_RUN, true },
   [ERR_NO_SERVER] = { "no_server", 503, OUTCOME_NOT_RUN, true },
   [ERR_SERVER_LEAVING] = { "server_leaving", 503, OUTCOME_NOT_RUN, true },
--- a/src/core/err.h
+++ b/src/core/err.h
@@ -27,6 +27,7 @@
   /* Budgets. */
   ERR_BUDGET_EXHAUSTED,
   ERR_BUDGET_UNREACHABLE,
+  ERR_BUDGET_HELD, /* other hosts or open requests hold what is left */
   /* Admission and routing. */
   ERR_OVERLOADED,
   ERR_NO_SERVER,
--- a/src/api/error_answer.c
+++ b/src/relay/error_answer.c
@@ -1,4 +1,4 @@
-#include "api/error_answer.h"
+#include "relay/error_answer.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/api/sse.c
+++ b/src/relay/sse.c
@@ -1,4 +1,4 @@
-#include "api/sse.h"
+#include "relay/sse.h"
 
 #include <string.h>
 
--- a/src/settings/field.c
+++ b/src/settings/field.c
@@ -107,6 +107,14 @@
   return NULL;
 }
 
+static const char *
+number_fault (const Field *f, double value)
+{
+  if (value < (double)f->min || (f->max && value > (double)f->max))
+    return "out of range";
+  return NULL;
+}
+
 const char *
 field_fault (const Field *f, const TomlNode *value)
 {
@@ -114,6 +122,10 @@
     {
     case FIELD_INTEGER:
       return value->kind == TOML_INTEGER ? integer_fault (f, value->integer) : "wrong type";
+    case FIELD_NUMBER:
+      return value->kind == TOML_INTEGER || value->kind == TOML_FLOAT
+                 ? number_fault (f, value->number)
+                 : "wrong type";
     case FIELD_BOOLEAN:
       return value->kind == TOML_BOOLEAN ? NULL : "wrong type";
     case FIELD_TIME:
@@ -162,6 +174,8 @@
     return choices_print (ctx, f->choices);
   if (f->kind == FIELD_INTEGER)
     return integer_allowed (ctx, f);
+  if (f->kind == FIELD_NUMBER)
+    return talloc_asprintf (ctx, "number from %" PRId64 " to %" PRId64, f->min, f->max);
   if (f->kind == FIELD_TEXT)
     return f->max ? talloc_asprintf (ctx, "string of at most %" PRId64 " bytes", f->max)
                   : talloc_strdup (ctx, "string");
--- a/src/settings/schema.h
+++ b/src/settings/schema.h
@@ -17,6 +17,7 @@
   FIELD_NAME,       /* A-Z a-z 0-9 . _ -, 1 to 63 of them: names become parts of table keys */
   FIELD_CHOICE,     /* one of choices */
   FIELD_INTEGER,    /* min to max */
+  FIELD_NUMBER,     /* an integer or a float from min to max */
   FIELD_BOOLEAN,    /* true or false */
   FIELD_ADDRESS,    /* "IP:port" or "[IPv6]:port" */
   FIELD_PATH,       /* starts with "/" */
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -22,7 +22,8 @@
 
 static const Field LISTEN_FIELDS[] = {
   { .key = "callers", .kind = FIELD_ADDRESS, .required = true },
-  { .key = "peers", .kind = FIELD_ADDRESS, .required = true },
+  { .key = "peers", .kind = FIELD_ADDRESS },
+  { .key = "readiness", .kind = FIELD_ADDRESS },
   { .key = "operators", .kind = FIELD_ADDRESS, .required = true },
 };
 
@@ -42,6 +43,26 @@
 };
 static const Schema PLATFORM = { FIELDS (PLATFORM_FIELDS) };
 
+static const char *const INTERFACES[] = { "native", "platform", NULL };
+
+static const Field CALLERS_FIELDS[] = {
+  { .key = "interface", .kind = FIELD_CHOICE, .choices = INTERFACES },
+};
+static const Schema CALLERS = { FIELDS (CALLERS_FIELDS) };
+
+static const Field RETRIES_FIELDS[] = {
+  { .key = "share", .kind = FIELD_NUMBER, .min = 0, .max = 10 },
+  { .key = "window_s", .kind = FIELD_NUMBER, .min = 1, .max = 3600 },
+  { .key = "allowance", .kind = FIELD_NUMBER, .min = 0, .max = 1000 * 1000 },
+};
+static const Schema RETRIES = { FIELDS (RETRIES_FIELDS) };
+
+static const Field DATA_CENTRE_FIELDS[] = {
+  { .key = "name", .kind = FIELD_NAME, .required = true },
+  { .key = "region", .kind = FIELD_NAME, .required = true },
+};
+static const Schema DATA_CENTRE = { FIELDS (DATA_CENTRE_FIELDS) };
+
 static const Field WORKERS_FIELDS[] = {
   { .key = "threads", .kind = FIELD_INTEGER, .min = 1, .max = 64 },
 };
@@ -74,6 +95,7 @@
 static const Field DRAIN_FIELDS[] = {
   { .key = "grace_ms", .kind = FIELD_INTEGER, .min = 0, .max = 600 * 1000 },
   { .key = "deadline_ms", .kind = FIELD_INTEGER, .min = 1000, .max = MAX_DEADLINE_MS },
+  { .key = "deadline_s", .kind = FIELD_NUMBER, .min = 1, .max = MAX_DEADLINE_MS / 1000 },
 };
 static const Schema DRAIN = { FIELDS (DRAIN_FIELDS) };
 
@@ -94,6 +116,9 @@
   { .key = "host", .kind = FIELD_TABLE, .required = true, .schema = &HOST },
   { .key = "listen", .kind = FIELD_TABLE, .required = true, .schema = &LISTEN },
   { .key = "platform", .kind = FIELD_TABLE, .required = true, .schema = &PLATFORM },
+  { .key = "data_centre", .kind = FIELD_TABLES, .schema = &DATA_CENTRE, .max = 1000 },
+  { .key = "callers", .kind = FIELD_TABLE, .schema = &CALLERS },
+  { .key = "retries", .kind = FIELD_TABLE, .schema = &RETRIES },
   { .key = "workers", .kind = FIELD_TABLE, .schema = &WORKERS },
   { .key = "limits", .kind = FIELD_TABLE, .schema = &LIMITS },
   { .key = "drain", .kind = FIELD_TABLE, .schema = &DRAIN },
@@ -129,6 +154,29 @@
     }
 }
 
+static void
+read_data_centres (Settings *s, const TomlNode *array)
+{
+  size_t n = array ? array->n_children : 0;
+  SettingsDataCentre *list = talloc_zero_array (s, SettingsDataCentre, n + 1);
+
+  s->data_centres = list;
+  s->n_data_centres = n;
+  for (size_t i = 0; i < n; i++)
+    {
+      list[i].name = talloc_strdup (list, toml_string (&array->children[i], "name", ""));
+      list[i].region = talloc_strdup (list, toml_string (&array->children[i], "region", ""));
+    }
+}
+
+static void
+read_retries (Settings *s, const TomlNode *t)
+{
+  s->retry_share = toml_number (t, "share", 0.2);
+  s->retry_window_ms = (int64_t)(1000 * toml_number (t, "window_s", 10));
+  s->retry_allowance = toml_number (t, "allowance", 50);
+}
+
 static void
 read_platform (Settings *s, const TomlNode *array)
 {
@@ -159,6 +207,7 @@
   s->region = talloc_strdup (s, toml_string (host, "region", ""));
   s->listen_callers = talloc_strdup (s, toml_string (listen, "callers", ""));
   s->listen_peers = talloc_strdup (s, toml_string (listen, "peers", ""));
+  s->listen_readiness = talloc_strdup (s, toml_string (listen, "readiness", ""));
   s->listen_operators = talloc_strdup (s, toml_string (listen, "operators", ""));
 }
 
@@ -179,6 +228,12 @@
   read_limits (s, toml_get (root, "limits"));
   s->drain_grace_ms = toml_integer (drain, "grace_ms", 3000);
   s->drain_deadline_ms = toml_integer (drain, "deadline_ms", 300 * 1000);
+  if (toml_get (drain, "deadline_s"))
+    s->drain_deadline_ms = (int64_t)(1000 * toml_number (drain, "deadline_s", 0));
+  s->platform_interface
+      = !strcmp (toml_string (toml_get (root, "callers"), "interface", "native"), "platform");
+  read_retries (s, toml_get (root, "retries"));
+  read_data_centres (s, toml_get (root, "data_centre"));
   s->log_level = level_from_name (toml_string (toml_get (root, "log"), "level", "info"));
   read_peers (s, toml_get (root, "peer"));
   return s;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -20,6 +20,13 @@
   const char *region;
 } SettingsPeer;
 
+/** A data centre and the region that it is in. */
+typedef struct
+{
+  const char *name;
+  const char *region;
+} SettingsDataCentre;
+
 typedef struct
 {
   const char *host_name;
@@ -27,9 +34,16 @@
   const char *region;
   const char *listen_callers; /* "IP:port" */
   const char *listen_peers;
+  const char *listen_readiness; /* "" for none */
   const char *listen_operators;
   const char *const *platform_addresses;
   size_t n_platform_addresses;
+  bool platform_interface; /* callers and servers speak the platform's interface, not ours */
+  const SettingsDataCentre *data_centres;
+  size_t n_data_centres;
+  double retry_share; /* of a service's requests that all hosts may send again in a window */
+  int64_t retry_window_ms;
+  double retry_allowance; /* and this many more */
   int threads;
   int64_t max_body_bytes;
   int64_t max_header_bytes;
--- a/src/settings/toml_reader.cc
+++ b/src/settings/toml_reader.cc
@@ -114,6 +114,7 @@
     case toml::node_type::integer:
       out->kind = TOML_INTEGER;
       out->integer = node.as_integer ()->get ();
+      out->number = static_cast<double> (out->integer);
       return;
     case toml::node_type::boolean:
       out->kind = TOML_BOOLEAN;
@@ -121,6 +122,7 @@
       return;
     case toml::node_type::floating_point:
       out->kind = TOML_FLOAT;
+      out->number = node.as_floating_point ()->get ();
       return;
     case toml::node_type::date_time:
       fill_time (out, node.as_date_time ()->get ());
@@ -181,7 +183,15 @@
   return n && (n->kind == TOML_INTEGER || n->kind == TOML_TIME) ? n->integer : fallback;
 }
 
-extern "C" bool
+extern "C" double
+toml_number (const TomlNode *table, const char *key, double fallback)
+{
+  const TomlNode *n = toml_get (table, key);
+
+  return n && (n->kind == TOML_FLOAT || n->kind == TOML_INTEGER) ? n->number : fallback;
+}
+
+bool
 toml_boolean (const TomlNode *table, const char *key, bool fallback)
 {
   const TomlNode *n = toml_get (table, key);
--- a/src/settings/toml_reader.h
+++ b/src/settings/toml_reader.h
@@ -33,6 +33,7 @@
   int column;
   const char *string;
   int64_t integer; /* times: milliseconds since the epoch */
+  double number;   /* of a float or an integer */
   bool boolean;
   TomlNode *children;
   size_t n_children;
@@ -55,6 +56,7 @@
 /** Members with a fallback; for documents that were checked before. */
 const char *toml_string (const TomlNode *table, const char *key, const char *fallback);
 int64_t toml_integer (const TomlNode *table, const char *key, int64_t fallback);
+double toml_number (const TomlNode *table, const char *key, double fallback);
 bool toml_boolean (const TomlNode *table, const char *key, bool fallback);
 
 #ifdef __cplusplus
