--- /dev/null
+++ b/src/budget/budget_rows.c
@@ -0,0 +1,64 @@
+#include "budget/budget_rows.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+#include <jansson.h>
+
+size_t
+budget_row_write (const BudgetRow *row, char text[BUDGET_ROW_BYTES])
+{
+  int n = snprintf (text, BUDGET_ROW_BYTES,
+                    "{\"granted\":%" PRId64 ",\"limit\":%" PRId64 ",\"limit_version\":%" PRId64 "}",
+                    row->granted, row->limit, row->limit_version);
+
+  return (size_t)n;
+}
+
+size_t
+budget_host_row_write (const BudgetHostRow *row, char text[BUDGET_ROW_BYTES])
+{
+  int n = snprintf (text, BUDGET_ROW_BYTES,
+                    "{\"incarnation\":%" PRIu64 ",\"seq\":%" PRIu64 ",\"spent\":%" PRId64 "}",
+                    row->incarnation, row->seq, row->spent);
+
+  return (size_t)n;
+}
+
+static bool
+read_integer (const json_t *json, const char *name, int64_t *value)
+{
+  const json_t *member = json_object_get (json, name);
+
+  if (!json_is_integer (member))
+    return false;
+  *value = json_integer_value (member);
+  return true;
+}
+
+bool
+budget_row_read (const StoreRow *stored, BudgetRow *row)
+{
+  json_t *json = json_loadb (stored->value ? stored->value : "", stored->len, 0, NULL);
+  bool ok = read_integer (json, "granted", &row->granted)
+            && read_integer (json, "limit", &row->limit)
+            && read_integer (json, "limit_version", &row->limit_version);
+
+  json_decref (json);
+  return ok;
+}
+
+bool
+budget_host_row_read (const StoreRow *stored, BudgetHostRow *row)
+{
+  json_t *json = json_loadb (stored->value ? stored->value : "", stored->len, 0, NULL);
+  int64_t incarnation = 0;
+  int64_t seq = 0;
+  bool ok = read_integer (json, "incarnation", &incarnation) && read_integer (json, "seq", &seq)
+            && read_integer (json, "spent", &row->spent);
+
+  row->incarnation = (uint64_t)incarnation;
+  row->seq = (uint64_t)seq;
+  json_decref (json);
+  return ok;
+}
--- /dev/null
+++ b/src/budget/supply.c
@@ -0,0 +1,405 @@
+#include "budget/supply.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include <talloc.h>
+
+#include "budget/budget_rows.h"
+#include "core/log.h"
+
+#define PART_ROWS           500
+#define FIRST_BACKOFF_MS    60
+#define LONGEST_BACKOFF_MS  500
+#define CONFLICT_BACKOFF_MS 12
+
+/* Transactions without an answer. With this many, the next one changes nothing and needs no record: once
+ * it is done, the others cannot be done any more. */
+#define MAX_OPEN 8
+
+typedef struct
+{
+  uint64_t seq;
+  int64_t checked_version; /* of the account's row: it can be done only while this is current */
+  Tokens change;
+} OpenTxn;
+
+struct Supply
+{
+  SupplyOptions options;
+  BudgetAccount *account;
+  int hosts;
+  bool closing;
+  bool want_totals;
+
+  StoreCall *call;
+  Timer *backoff;
+  int64_t backoff_ms;
+  int conflicts;
+  bool connected;
+
+  int64_t row_version;
+  int64_t host_row_version;
+  Tokens spent_before; /* by earlier incarnations of this host */
+  Tokens total_spent;
+  int64_t total_ms;
+  int64_t fresh_ms;
+
+  uint64_t next_seq;
+  OpenTxn sent; /* the one on its way */
+  OpenTxn open[MAX_OPEN];
+  size_t n_open;
+};
+
+static const char *
+host_row_name (const Supply *s, char *name, size_t size)
+{
+  snprintf (name, size, "%s%s", BUDGET_HOST_PREFIX, s->options.host);
+  return name;
+}
+
+/* --- Outcomes ---------------------------------------------------------------------------- */
+
+/* Tokens to be given back left the balance before the transaction; tokens to be drawn come with it. */
+static void
+resolve (Supply *s, const OpenTxn *t, bool done)
+{
+  if (done && t->change > 0)
+    budget_account_credit (s->account, t->change);
+  if (!done && t->change < 0)
+    budget_account_credit (s->account, -t->change);
+}
+
+static void
+resolve_all (Supply *s, uint64_t done_seq)
+{
+  for (size_t i = 0; i < s->n_open; i++)
+    resolve (s, &s->open[i], s->open[i].seq == done_seq);
+  s->n_open = 0;
+}
+
+static bool
+is_open (const Supply *s, uint64_t seq)
+{
+  for (size_t i = 0; i < s->n_open; i++)
+    if (s->open[i].seq == seq)
+      return true;
+  return false;
+}
+
+/* A transaction without an answer may still be done while the row has the version that it checks. */
+static void
+drop_dead (Supply *s)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < s->n_open; i++)
+    if (s->open[i].checked_version == s->row_version)
+      s->open[kept++] = s->open[i];
+    else
+      resolve (s, &s->open[i], false);
+  s->n_open = kept;
+}
+
+static void
+take_host_row (Supply *s, const StoreRow *stored)
+{
+  BudgetHostRow row = { 0 };
+
+  s->host_row_version = stored->version;
+  if (!budget_host_row_read (stored, &row))
+    return;
+  if (row.incarnation != s->options.incarnation)
+    s->spent_before = tokens_max (s->spent_before, row.spent);
+  else if (is_open (s, row.seq))
+    resolve_all (s, row.seq);
+}
+
+/* Takes over the rows of an answer; rows that are not in it do not exist. */
+static void
+take_rows (Supply *s, const StoreReply *reply, bool whole_part)
+{
+  char own[256];
+  Tokens total = 0;
+  int64_t now = timers_now_ms (s->options.timers);
+
+  host_row_name (s, own, sizeof own);
+  s->row_version = 0;
+  s->host_row_version = 0;
+  memset (&s->account->row, 0, sizeof s->account->row);
+  for (size_t i = 0; i < reply->n_rows; i++)
+    {
+      const StoreRow *row = &reply->rows[i];
+      BudgetHostRow host = { 0 };
+
+      if (row->removed || row->version == 0)
+        continue;
+      if (!strcmp (row->key.name, BUDGET_ACCOUNT_ROW))
+        {
+          s->row_version = row->version;
+          if (!budget_row_read (row, &s->account->row))
+            {
+              /* Nothing may be granted from a row that cannot be read. */
+              s->account->row.granted = INT64_MAX / 4;
+              log_event (LOG_LEVEL_ERR, "budget", "row_unreadable", "account=%s version=%" PRId64,
+                         s->options.account, row->version);
+            }
+        }
+      else if (!strncmp (row->key.name, BUDGET_HOST_PREFIX, strlen (BUDGET_HOST_PREFIX)))
+        {
+          if (!strcmp (row->key.name, own))
+            take_host_row (s, row);
+          else if (budget_host_row_read (row, &host))
+            total = tokens_add_saturated (total, host.spent);
+        }
+    }
+  drop_dead (s);
+  s->account->known = true;
+  s->fresh_ms = now;
+  if (!whole_part)
+    return;
+  s->total_spent = total + s->spent_before + s->account->spent;
+  s->total_ms = now;
+  s->want_totals = false;
+}
+
+/* --- Answers ----------------------------------------------------------------------------- */
+
+static void
+on_backoff (void *data)
+{
+  Supply *s = data;
+
+  s->backoff = NULL;
+  supply_step (s);
+}
+
+static void
+back_off (Supply *s, int64_t ms)
+{
+  int64_t delay = ms / 2 + (int64_t)rng_below (s->options.rng, (uint64_t)ms);
+
+  if (!s->backoff)
+    s->backoff = timers_start (s->options.timers, s, delay, on_backoff, s);
+}
+
+static void
+answered (Supply *s)
+{
+  if (!s->connected)
+    log_event (LOG_LEVEL_NOTICE, "budget", "store_regained", "account=%s", s->options.account);
+  s->connected = true;
+  s->backoff_ms = FIRST_BACKOFF_MS;
+}
+
+static void
+not_answered (Supply *s, const StoreReply *reply)
+{
+  if (s->connected)
+    log_event (LOG_LEVEL_NOTICE, "budget", "store_lost",
+               "account=%s result=%s detail=\"%s\" open=%zu", s->options.account,
+               store_result_name (reply->result), reply->detail, s->n_open);
+  s->connected = false;
+  back_off (s, s->backoff_ms);
+  s->backoff_ms = s->backoff_ms * 2 > LONGEST_BACKOFF_MS ? LONGEST_BACKOFF_MS : s->backoff_ms * 2;
+}
+
+static void
+on_read (void *data, const StoreReply *reply)
+{
+  Supply *s = data;
+
+  s->call = NULL;
+  s->options.lock (s->options.data);
+  if (reply->result == STORE_DONE)
+    take_rows (s, reply, true);
+  s->options.unlock (s->options.data);
+  if (reply->result == STORE_DONE)
+    answered (s);
+  else
+    not_answered (s, reply);
+  s->options.updated (s->options.data);
+  supply_step (s);
+}
+
+static void
+finish_txn (Supply *s, const StoreReply *reply)
+{
+  switch (reply->result)
+    {
+    case STORE_DONE:
+      s->account->row = budget_account_next_row (s->account, s->sent.change);
+      s->row_version = reply->version;
+      s->host_row_version = reply->version;
+      s->fresh_ms = timers_now_ms (s->options.timers);
+      s->conflicts = 0;
+      resolve (s, &s->sent, true);
+      /* They checked a version that this transaction has replaced. */
+      resolve_all (s, 0);
+      break;
+    case STORE_CONFLICT:
+      resolve (s, &s->sent, false);
+      take_rows (s, reply, false);
+      s->conflicts++;
+      break;
+    case STORE_REFUSED:
+      resolve (s, &s->sent, false);
+      break;
+    case STORE_UNKNOWN:
+    case STORE_HISTORY_GONE:
+      if (s->n_open < MAX_OPEN)
+        s->open[s->n_open++] = s->sent;
+      break;
+    }
+}
+
+static void
+on_txn (void *data, const StoreReply *reply)
+{
+  Supply *s = data;
+
+  s->call = NULL;
+  s->options.lock (s->options.data);
+  finish_txn (s, reply);
+  s->options.unlock (s->options.data);
+  if (reply->result == STORE_DONE || reply->result == STORE_CONFLICT)
+    answered (s);
+  else
+    not_answered (s, reply);
+  if (reply->result == STORE_CONFLICT && s->conflicts > 1)
+    back_off (s, CONFLICT_BACKOFF_MS << (s->conflicts < 6 ? s->conflicts - 2 : 4));
+  s->options.updated (s->options.data);
+  supply_step (s);
+}
+
+/* --- Calls ------------------------------------------------------------------------------- */
+
+static void
+start_read (Supply *s)
+{
+  StoreRange range = { .table = BUDGET_TABLE, .part = s->options.account, .limit = PART_ROWS };
+
+  s->call = store_range (s->options.store, s, &range, on_read, s);
+}
+
+static void
+start_txn (Supply *s, Tokens change, const BudgetRow *next, const BudgetHostRow *host)
+{
+  char name[256];
+  char row_text[BUDGET_ROW_BYTES];
+  char host_text[BUDGET_ROW_BYTES];
+  StoreKey account_key = { BUDGET_TABLE, s->options.account, BUDGET_ACCOUNT_ROW };
+  StoreKey host_key = { BUDGET_TABLE, s->options.account, host_row_name (s, name, sizeof name) };
+  StoreCheck checks[] = { { account_key, s->row_version }, { host_key, s->host_row_version } };
+  StoreWrite writes[] = { { account_key, row_text, budget_row_write (next, row_text) },
+                          { host_key, host_text, budget_host_row_write (host, host_text) } };
+  StoreTxn txn = { .checks = checks, .n_checks = 2, .writes = writes, .n_writes = 2 };
+
+  s->sent = (OpenTxn){ host->seq, s->row_version, change };
+  s->call = store_txn (s->options.store, s, &txn, on_txn, s);
+}
+
+/* @return whether a transaction is due, with what it is to write. */
+static bool
+plan_txn (Supply *s, Tokens *change, BudgetRow *next, BudgetHostRow *host)
+{
+  BudgetAccount *a = s->account;
+
+  *change = s->closing ? -a->balance
+                       : budget_account_change (a, s->options.policy, s->hosts,
+                                                timers_now_ms (s->options.timers));
+  if (s->n_open == MAX_OPEN)
+    *change = 0;
+  if (*change == 0 && s->n_open == 0)
+    return false;
+  *next = budget_account_next_row (a, *change);
+  *host = (BudgetHostRow){ .incarnation = s->options.incarnation,
+                           .seq = s->next_seq++,
+                           .spent = s->spent_before + a->spent };
+  if (*change < 0)
+    budget_account_withdraw (a, -*change);
+  return true;
+}
+
+void
+supply_step (Supply *s)
+{
+  Tokens change = 0;
+  BudgetRow next;
+  BudgetHostRow host;
+  bool due = false;
+
+  if (s->call || s->backoff)
+    return;
+  if (!s->account->known || s->want_totals || !s->connected)
+    {
+      start_read (s);
+      return;
+    }
+  s->options.lock (s->options.data);
+  due = plan_txn (s, &change, &next, &host);
+  s->options.unlock (s->options.data);
+  if (due)
+    start_txn (s, change, &next, &host);
+}
+
+/* --- Set-up and questions ---------------------------------------------------------------- */
+
+Supply *
+supply_new (const void *ctx, const SupplyOptions *options, BudgetAccount *account)
+{
+  Supply *s = talloc_zero (ctx, Supply);
+
+  s->options = *options;
+  s->options.account = talloc_strdup (s, options->account);
+  s->account = account;
+  s->hosts = 1;
+  s->connected = true;
+  s->backoff_ms = FIRST_BACKOFF_MS;
+  s->next_seq = 1;
+  s->total_ms = INT64_MIN;
+  s->fresh_ms = INT64_MIN;
+  return s;
+}
+
+void
+supply_set_hosts (Supply *s, int hosts)
+{
+  s->hosts = hosts > 0 ? hosts : 1;
+}
+
+void
+supply_close (Supply *s)
+{
+  s->closing = true;
+}
+
+void
+supply_want_totals (Supply *s)
+{
+  s->want_totals = true;
+}
+
+bool
+supply_is_connected (const Supply *s)
+{
+  return s->connected;
+}
+
+bool
+supply_is_fresh (const Supply *s, int64_t since_ms)
+{
+  return s->account->known && s->fresh_ms >= since_ms;
+}
+
+Tokens
+supply_total_spent (const Supply *s, int64_t since_ms)
+{
+  return s->total_ms >= since_ms ? s->total_spent : -1;
+}
+
+bool
+supply_is_busy (const Supply *s)
+{
+  return s->call || s->n_open > 0;
+}
--- /dev/null
+++ b/src/catalog/catalog.c
@@ -0,0 +1,305 @@
+#include "catalog/catalog.h"
+
+#include <stdatomic.h>
+#include <string.h>
+
+#include <glib.h>
+#include <openssl/sha.h>
+#include <talloc.h>
+
+struct Catalog
+{
+  atomic_int refs;
+  int64_t version;
+  CatalogLimits limits;
+  GHashTable *services; /* by name */
+  GHashTable *hosts;    /* name to GPtrArray of routes, longest prefix first */
+  GHashTable *accounts; /* by name */
+  GHashTable *keys;     /* digest to account */
+  size_t n_routes;
+};
+
+struct CatalogBuilder
+{
+  Catalog *catalog;
+};
+
+static guint
+digest_hash (gconstpointer digest)
+{
+  guint hash;
+
+  memcpy (&hash, digest, sizeof hash);
+  return hash;
+}
+
+static gboolean
+digest_equal (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, CATALOG_DIGEST_BYTES) == 0;
+}
+
+static void
+free_routes (gpointer routes)
+{
+  g_ptr_array_free (routes, TRUE);
+}
+
+CatalogBuilder *
+catalog_builder_new (const void *ctx, int64_t version)
+{
+  CatalogBuilder *b = talloc_zero (ctx, CatalogBuilder);
+  Catalog *c = talloc_zero (NULL, Catalog);
+
+  b->catalog = c;
+  atomic_store (&c->refs, 1);
+  c->version = version;
+  c->services = g_hash_table_new (g_str_hash, g_str_equal);
+  c->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_routes);
+  c->accounts = g_hash_table_new (g_str_hash, g_str_equal);
+  c->keys = g_hash_table_new (digest_hash, digest_equal);
+  return b;
+}
+
+const CatalogService *
+catalog_add_service (CatalogBuilder *b, const CatalogService *service)
+{
+  CatalogService *s = talloc (b->catalog, CatalogService);
+
+  *s = *service;
+  s->name = talloc_strdup (s, service->name);
+  s->health_path = service->health_path ? talloc_strdup (s, service->health_path) : NULL;
+  g_hash_table_insert (b->catalog->services, (gpointer)s->name, s);
+  return s;
+}
+
+const CatalogService *
+catalog_builder_service (const CatalogBuilder *b, const char *name)
+{
+  return g_hash_table_lookup (b->catalog->services, name);
+}
+
+void
+catalog_add_route (CatalogBuilder *b, const CatalogRoute *route)
+{
+  Catalog *c = b->catalog;
+  CatalogRoute *r = talloc (c, CatalogRoute);
+  GPtrArray *list;
+
+  *r = *route;
+  r->name = talloc_strdup (r, route->name);
+  r->host = talloc_strdup (r, route->host);
+  r->path_prefix = talloc_strdup (r, route->path_prefix);
+  r->targets = talloc_memdup (r, route->targets, route->n_targets * sizeof *route->targets);
+  r->total_weight = 0;
+  for (size_t i = 0; i < route->n_targets; i++)
+    r->total_weight += route->targets[i].weight;
+  list = g_hash_table_lookup (c->hosts, r->host);
+  if (!list)
+    {
+      list = g_ptr_array_new ();
+      g_hash_table_insert (c->hosts, (gpointer)r->host, list);
+    }
+  g_ptr_array_add (list, r);
+  c->n_routes++;
+}
+
+const CatalogAccount *
+catalog_add_account (CatalogBuilder *b, const CatalogAccount *account)
+{
+  CatalogAccount *a = talloc (b->catalog, CatalogAccount);
+
+  *a = *account;
+  a->name = talloc_strdup (a, account->name);
+  g_hash_table_insert (b->catalog->accounts, (gpointer)a->name, a);
+  return a;
+}
+
+void
+catalog_add_key (CatalogBuilder *b, const CatalogAccount *account,
+                 const uint8_t digest[CATALOG_DIGEST_BYTES])
+{
+  uint8_t *copy = talloc_memdup (b->catalog, digest, CATALOG_DIGEST_BYTES);
+
+  g_hash_table_insert (b->catalog->keys, copy, (gpointer)account);
+}
+
+void
+catalog_set_limits (CatalogBuilder *b, const CatalogLimits *limits)
+{
+  b->catalog->limits = *limits;
+}
+
+static gint
+longer_prefix_first (gconstpointer a, gconstpointer b)
+{
+  const CatalogRoute *const *x = a;
+  const CatalogRoute *const *y = b;
+  size_t lx = strlen ((*x)->path_prefix);
+  size_t ly = strlen ((*y)->path_prefix);
+
+  return lx > ly ? -1 : lx < ly;
+}
+
+const Catalog *
+catalog_finish (CatalogBuilder *b)
+{
+  Catalog *c = b->catalog;
+  GHashTableIter iter;
+  gpointer list;
+
+  g_hash_table_iter_init (&iter, c->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &list))
+    g_ptr_array_sort (list, longer_prefix_first);
+  talloc_free (b);
+  return c;
+}
+
+const Catalog *
+catalog_ref (const Catalog *catalog)
+{
+  atomic_fetch_add (&((Catalog *)catalog)->refs, 1);
+  return catalog;
+}
+
+void
+catalog_unref (const Catalog *catalog)
+{
+  Catalog *c = (Catalog *)catalog;
+
+  if (!c || atomic_fetch_sub (&c->refs, 1) > 1)
+    return;
+  g_hash_table_unref (c->services);
+  g_hash_table_unref (c->hosts);
+  g_hash_table_unref (c->accounts);
+  g_hash_table_unref (c->keys);
+  talloc_free (c);
+}
+
+typedef struct
+{
+  const Catalog *catalog;
+} Hold;
+
+static int
+hold_destroy (Hold *hold)
+{
+  catalog_unref (hold->catalog);
+  return 0;
+}
+
+void
+catalog_hold (const void *ctx, const Catalog *catalog)
+{
+  Hold *hold = talloc (ctx, Hold);
+
+  hold->catalog = catalog;
+  talloc_set_destructor (hold, hold_destroy);
+}
+
+int64_t
+catalog_version (const Catalog *c)
+{
+  return c->version;
+}
+
+const CatalogLimits *
+catalog_limits (const Catalog *c)
+{
+  return &c->limits;
+}
+
+size_t
+catalog_n_routes (const Catalog *c)
+{
+  return c->n_routes;
+}
+
+bool
+catalog_needs_keys (const Catalog *c)
+{
+  return g_hash_table_size (c->accounts) > 0;
+}
+
+const CatalogRoute *
+catalog_route (const Catalog *c, const char *host, const char *path)
+{
+  GPtrArray *list = g_hash_table_lookup (c->hosts, host);
+
+  for (guint i = 0; list && i < list->len; i++)
+    {
+      const CatalogRoute *r = list->pdata[i];
+
+      if (!strncmp (path, r->path_prefix, strlen (r->path_prefix)))
+        return r;
+    }
+  return NULL;
+}
+
+void
+catalog_digest (const char *key, uint8_t digest[CATALOG_DIGEST_BYTES])
+{
+  SHA256 ((const unsigned char *)key, strlen (key), digest);
+}
+
+const CatalogAccount *
+catalog_account_by_key (const Catalog *c, const char *key)
+{
+  uint8_t digest[CATALOG_DIGEST_BYTES];
+
+  catalog_digest (key, digest);
+  return g_hash_table_lookup (c->keys, digest);
+}
+
+const CatalogAccount *
+catalog_account (const Catalog *c, const char *name)
+{
+  return g_hash_table_lookup (c->accounts, name);
+}
+
+const CatalogService *
+catalog_service (const Catalog *c, const char *name)
+{
+  return g_hash_table_lookup (c->services, name);
+}
+
+void
+catalog_each_account (const Catalog *c, void (*fn) (void *data, const CatalogAccount *account),
+                      void *data)
+{
+  GHashTableIter iter;
+  gpointer account;
+
+  g_hash_table_iter_init (&iter, c->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &account))
+    fn (data, account);
+}
+
+void
+catalog_each_service (const Catalog *c, void (*fn) (void *data, const CatalogService *service),
+                      void *data)
+{
+  GHashTableIter iter;
+  gpointer service;
+
+  g_hash_table_iter_init (&iter, c->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    fn (data, service);
+}
+
+const CatalogService *
+catalog_route_service (const CatalogRoute *r, uint64_t hash)
+{
+  uint64_t at;
+
+  if (r->total_weight == 0)
+    return r->n_targets ? r->targets[0].service : NULL;
+  at = hash % r->total_weight;
+  for (size_t i = 0; i < r->n_targets; i++)
+    {
+      if (at < r->targets[i].weight)
+        return r->targets[i].service;
+      at -= r->targets[i].weight;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/src/catalog/catalog_store.c
@@ -0,0 +1,70 @@
+#include "catalog/catalog_store.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+
+#include <talloc.h>
+
+#include "core/invariant.h"
+#include "core/log.h"
+
+struct CatalogStore
+{
+  pthread_mutex_t lock; /* "catalog" */
+  const Catalog *current;
+};
+
+static int
+store_destroy (CatalogStore *s)
+{
+  catalog_unref (s->current);
+  pthread_mutex_destroy (&s->lock);
+  return 0;
+}
+
+CatalogStore *
+catalog_store_new (const void *ctx)
+{
+  CatalogStore *s = talloc_zero (ctx, CatalogStore);
+
+  pthread_mutex_init (&s->lock, NULL);
+  talloc_set_destructor (s, store_destroy);
+  return s;
+}
+
+bool
+catalog_store_set (CatalogStore *s, const Catalog *catalog)
+{
+  const Catalog *old;
+  int64_t old_version;
+  bool newer;
+
+  pthread_mutex_lock (&s->lock);
+  old = s->current;
+  old_version = old ? catalog_version (old) : 0;
+  newer = !old || catalog_version (catalog) > old_version;
+  if (newer)
+    s->current = catalog;
+  pthread_mutex_unlock (&s->lock);
+  if (!newer)
+    {
+      catalog_unref (catalog);
+      return false;
+    }
+  log_event (LOG_LEVEL_NOTICE, "catalog", "in_force",
+             "version=%" PRId64 " before=%" PRId64 " routes=%zu", catalog_version (catalog),
+             old_version, catalog_n_routes (catalog));
+  catalog_unref (old);
+  return true;
+}
+
+const Catalog *
+catalog_store_get (CatalogStore *s)
+{
+  const Catalog *c;
+
+  pthread_mutex_lock (&s->lock);
+  c = s->current ? catalog_ref (s->current) : NULL;
+  pthread_mutex_unlock (&s->lock);
+  return c;
+}
--- /dev/null
+++ b/src/fleet/registry.c
@@ -0,0 +1,173 @@
+#include "fleet/registry.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+#include <glib.h>
+#include <talloc.h>
+
+#include "core/log.h"
+
+#define TABLE "hosts"
+
+/* Each host writes and reads once in this time; more often for the first rounds, when hosts that start
+ * together do not see each other yet. */
+#define ROUND_MS       8000
+#define FIRST_ROUND_MS 1500
+#define FIRST_ROUNDS   3
+
+/* A row that has not changed for this long belongs to a host that is gone. */
+#define LIFETIME_MS 25000
+
+#define LIST_ROWS 500
+
+typedef struct
+{
+  int64_t version;
+  int64_t changed_ms;
+} Seen;
+
+struct Registry
+{
+  RegistryOptions options;
+  GHashTable *seen; /* by host */
+  int rounds;
+  int hosts;
+  bool leaving;
+};
+
+static void
+forget_old (Registry *r, int64_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, r->seen);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now - ((Seen *)value)->changed_ms > LIFETIME_MS)
+      g_hash_table_iter_remove (&iter);
+}
+
+static void
+note_row (Registry *r, const StoreRow *row, int64_t now)
+{
+  Seen *seen = g_hash_table_lookup (r->seen, row->key.name);
+
+  if (seen && seen->version == row->version)
+    return;
+  if (!seen)
+    {
+      seen = g_new0 (Seen, 1);
+      g_hash_table_insert (r->seen, g_strdup (row->key.name), seen);
+    }
+  seen->version = row->version;
+  seen->changed_ms = now;
+}
+
+static void
+on_list (void *data, const StoreReply *reply)
+{
+  Registry *r = data;
+  int64_t now = timers_now_ms (r->options.timers);
+  int hosts;
+
+  if (reply->result != STORE_DONE)
+    return;
+  for (size_t i = 0; i < reply->n_rows; i++)
+    note_row (r, &reply->rows[i], now);
+  forget_old (r, now);
+  hosts = (int)g_hash_table_size (r->seen);
+  if (hosts < 1)
+    hosts = 1;
+  if (hosts == r->hosts)
+    return;
+  log_event (LOG_LEVEL_NOTICE, "fleet", "hosts", "hosts=%d before=%d", hosts, r->hosts);
+  r->hosts = hosts;
+  r->options.changed (r->options.data, hosts);
+}
+
+static void
+on_written (void *data, const StoreReply *reply)
+{
+  Registry *r = data;
+  StoreRange range = { .table = TABLE, .part = "", .limit = LIST_ROWS };
+
+  if (reply->result == STORE_DONE && !r->leaving)
+    store_range (r->options.store, r, &range, on_list, r);
+}
+
+static void
+announce (Registry *r)
+{
+  char value[160];
+  StoreKey key = { TABLE, "", r->options.host };
+  int len = snprintf (value, sizeof value,
+                      "{\"incarnation\":%" PRIu64 ",\"data_centre\":\"%s\",\"round\":%d}",
+                      r->options.incarnation, r->options.data_centre, r->rounds);
+  StoreWrite write = { key, value, (size_t)len };
+  StoreTxn txn = { .writes = &write, .n_writes = 1 };
+
+  store_txn (r->options.store, r, &txn, on_written, r);
+}
+
+static void
+on_round (void *data)
+{
+  Registry *r = data;
+  int64_t delay = r->rounds < FIRST_ROUNDS ? FIRST_ROUND_MS : ROUND_MS;
+
+  if (r->leaving)
+    return;
+  announce (r);
+  r->rounds++;
+  timers_start (r->options.timers, r,
+                delay * 3 / 4 + (int64_t)rng_below (r->options.rng, (uint64_t)delay / 2), on_round,
+                r);
+}
+
+static void
+on_left (void *data, const StoreReply *reply)
+{
+  (void)data;
+  (void)reply;
+}
+
+void
+registry_leave (Registry *r)
+{
+  StoreWrite write = { { TABLE, "", r->options.host }, NULL, 0 };
+  StoreTxn txn = { .writes = &write, .n_writes = 1 };
+
+  if (r->leaving)
+    return;
+  r->leaving = true;
+  store_txn (r->options.store, r, &txn, on_left, r);
+}
+
+int
+registry_hosts (const Registry *r)
+{
+  return r->hosts;
+}
+
+static int
+registry_destroy (Registry *r)
+{
+  g_hash_table_unref (r->seen);
+  return 0;
+}
+
+Registry *
+registry_new (const void *ctx, const RegistryOptions *options)
+{
+  Registry *r = talloc_zero (ctx, Registry);
+
+  r->options = *options;
+  r->options.host = talloc_strdup (r, options->host);
+  r->options.data_centre = talloc_strdup (r, options->data_centre);
+  r->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  r->hosts = 1;
+  talloc_set_destructor (r, registry_destroy);
+  timers_start (options->timers, r, 0, on_round, r);
+  return r;
+}
--- /dev/null
+++ b/src/fleet/registry.h
@@ -0,0 +1,32 @@
+/** @file
+ * The hosts of the fleet, by a row that each of them keeps in the store. Nothing depends on it but the
+ * shares in common limits. Control loop only. */
+#pragma once
+
+#include "core/rng.h"
+#include "core/timers.h"
+#include "store/store.h"
+
+typedef struct Registry Registry;
+
+typedef struct
+{
+  Store *store;
+  Timers *timers;
+  Rng *rng;
+  const char *host;
+  const char *data_centre;
+  uint64_t incarnation;
+  /** The number of hosts has changed, this one included. */
+  void (*changed) (void *data, int hosts);
+  void *data;
+} RegistryOptions;
+
+/** Announces this host and starts to read the others. @return a talloc object under @p ctx. */
+Registry *registry_new (const void *ctx, const RegistryOptions *options);
+
+/** Withdraws this host's row. */
+void registry_leave (Registry *registry);
+
+/** @return hosts that have announced themselves lately, at least 1. */
+int registry_hosts (const Registry *registry);
--- /dev/null
+++ b/src/store/store_watch.c
@@ -0,0 +1,269 @@
+#include "store/store_watch.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <talloc.h>
+
+#include "core/log.h"
+
+#define PAGE_ROWS        500
+#define FIRST_RETRY_MS   50
+#define LONGEST_RETRY_MS 400
+
+struct StoreWatch
+{
+  StoreWatchOptions options;
+  GHashTable *versions; /* of the rows that were reported, by "part\nname" */
+  GHashTable *seen;     /* while the table is read: the rows met so far */
+  char *page_from;      /* the next page starts here */
+  int64_t read_version; /* of the store at the first page */
+  int64_t version;      /* the feed continues after it */
+  int64_t heard_ms;
+  int64_t steady_since_ms;
+  int64_t retry_ms;
+  bool synced;
+  bool reading;
+};
+
+static void read_page (StoreWatch *w);
+static void read_feed (StoreWatch *w);
+
+static char *
+row_id (const StoreKey *key)
+{
+  return g_strdup_printf ("%s\n%s", key->part, key->name);
+}
+
+static void
+report_row (StoreWatch *w, const StoreRow *row)
+{
+  char *id = row_id (&row->key);
+  int64_t *known = g_hash_table_lookup (w->versions, id);
+
+  if (w->seen)
+    g_hash_table_add (w->seen, g_strdup (id));
+  if (known && *known >= row->version)
+    {
+      g_free (id);
+      return;
+    }
+  if (row->removed)
+    {
+      bool was_known = g_hash_table_remove (w->versions, id);
+
+      g_free (id);
+      if (was_known)
+        w->options.events->removed (w->options.data, &row->key);
+      return;
+    }
+  g_hash_table_insert (w->versions, id, g_memdup2 (&row->version, sizeof row->version));
+  w->options.events->changed (w->options.data, row);
+}
+
+/* Rows that were there before and did not turn up again were removed in the gap. */
+static void
+remove_missing (StoreWatch *w)
+{
+  GHashTableIter iter;
+  gpointer id;
+  GPtrArray *gone = g_ptr_array_new_with_free_func (g_free);
+
+  g_hash_table_iter_init (&iter, w->versions);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    if (!g_hash_table_contains (w->seen, id))
+      g_ptr_array_add (gone, g_strdup (id));
+  for (guint i = 0; i < gone->len; i++)
+    {
+      char *part = gone->pdata[i];
+      char *name;
+
+      g_hash_table_remove (w->versions, part);
+      name = strchr (part, '\n');
+      *name++ = '\0';
+      w->options.events->removed (w->options.data, &(StoreKey){ w->options.table, part, name });
+    }
+  g_ptr_array_free (gone, TRUE);
+}
+
+/* --- Failures ---------------------------------------------------------------------------- */
+
+static void
+on_retry (void *data)
+{
+  StoreWatch *w = data;
+
+  if (w->reading)
+    read_page (w);
+  else
+    read_feed (w);
+}
+
+static void
+fail (StoreWatch *w, const StoreReply *reply)
+{
+  int64_t delay = w->retry_ms / 2 + (int64_t)rng_below (w->options.rng, (uint64_t)w->retry_ms);
+
+  if (w->steady_since_ms != INT64_MAX)
+    log_event (LOG_LEVEL_WARNING, "store", "watch_lost", "table=%s result=%s detail=\"%s\"",
+               w->options.table, store_result_name (reply->result),
+               reply->detail ? reply->detail : "");
+  w->steady_since_ms = INT64_MAX;
+  w->retry_ms = w->retry_ms * 2 > LONGEST_RETRY_MS ? LONGEST_RETRY_MS : w->retry_ms * 2;
+  timers_start (w->options.timers, w, delay, on_retry, w);
+}
+
+static void
+heard (StoreWatch *w)
+{
+  w->heard_ms = timers_now_ms (w->options.timers);
+  w->retry_ms = FIRST_RETRY_MS;
+  if (w->steady_since_ms != INT64_MAX)
+    return;
+  w->steady_since_ms = w->heard_ms;
+  log_event (LOG_LEVEL_NOTICE, "store", "watch_steady", "table=%s version=%" PRId64,
+             w->options.table, w->version);
+}
+
+/* --- The whole table --------------------------------------------------------------------- */
+
+static void
+start_reading (StoreWatch *w)
+{
+  w->reading = true;
+  w->read_version = 0;
+  TALLOC_FREE (w->page_from);
+  if (w->seen)
+    g_hash_table_unref (w->seen);
+  w->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  read_page (w);
+}
+
+static void
+finish_reading (StoreWatch *w)
+{
+  w->reading = false;
+  w->version = w->read_version;
+  remove_missing (w);
+  g_hash_table_unref (w->seen);
+  w->seen = NULL;
+  w->synced = true;
+  w->options.events->synced (w->options.data);
+  read_feed (w);
+}
+
+static void
+on_page (void *data, const StoreReply *reply)
+{
+  StoreWatch *w = data;
+
+  if (reply->result != STORE_DONE)
+    {
+      fail (w, reply);
+      return;
+    }
+  heard (w);
+  /* Changes between two pages come again through the feed, which starts at the first page. */
+  if (!w->read_version)
+    w->read_version = reply->version;
+  for (size_t i = 0; i < reply->n_rows; i++)
+    report_row (w, &reply->rows[i]);
+  if (!reply->has_more || reply->n_rows == 0)
+    {
+      finish_reading (w);
+      return;
+    }
+  talloc_free (w->page_from);
+  /* The smallest name after the last one of the page. */
+  w->page_from = talloc_asprintf (w, "%s\x01", reply->rows[reply->n_rows - 1].key.name);
+  read_page (w);
+}
+
+static void
+read_page (StoreWatch *w)
+{
+  StoreRange range
+      = { .table = w->options.table, .part = "", .from = w->page_from, .limit = PAGE_ROWS };
+
+  store_range (w->options.store, w, &range, on_page, w);
+}
+
+/* --- Changes ----------------------------------------------------------------------------- */
+
+static void
+on_feed (void *data, const StoreReply *reply)
+{
+  StoreWatch *w = data;
+
+  if (reply->result == STORE_HISTORY_GONE)
+    {
+      log_event (LOG_LEVEL_NOTICE, "store", "history_gone", "table=%s version=%" PRId64,
+                 w->options.table, w->version);
+      heard (w);
+      start_reading (w);
+      return;
+    }
+  if (reply->result != STORE_DONE)
+    {
+      fail (w, reply);
+      return;
+    }
+  heard (w);
+  for (size_t i = 0; i < reply->n_rows; i++)
+    report_row (w, &reply->rows[i]);
+  if (reply->version > w->version)
+    w->version = reply->version;
+  read_feed (w);
+}
+
+static void
+read_feed (StoreWatch *w)
+{
+  StoreFeed feed
+      = { .table = w->options.table, .after_version = w->version, .wait_ms = w->options.wait_ms };
+
+  store_feed (w->options.store, w, &feed, on_feed, w);
+}
+
+/* --- Set-up ------------------------------------------------------------------------------ */
+
+static int
+watch_destroy (StoreWatch *w)
+{
+  g_hash_table_unref (w->versions);
+  if (w->seen)
+    g_hash_table_unref (w->seen);
+  return 0;
+}
+
+StoreWatch *
+store_watch_new (const void *ctx, const StoreWatchOptions *options)
+{
+  StoreWatch *w = talloc_zero (ctx, StoreWatch);
+
+  w->options = *options;
+  w->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  w->retry_ms = FIRST_RETRY_MS;
+  w->heard_ms = INT64_MIN;
+  w->steady_since_ms = INT64_MAX;
+  talloc_set_destructor (w, watch_destroy);
+  start_reading (w);
+  return w;
+}
+
+int64_t
+store_watch_heard_ms (const StoreWatch *w)
+{
+  return w->heard_ms;
+}
+
+int64_t
+store_watch_steady_since_ms (const StoreWatch *w)
+{
+  return w->steady_since_ms;
+}
+
+bool
+store_watch_is_synced (const StoreWatch *w)
+{
+  return w->synced;
+}
