Serve the users' platform: relay, entry, adapter and deploy file

The whole path, thin: a host learns configuration and servers from the store's feeds, answers readiness, authenticates, routes, reserves budget, places, forwards plain answers and streams, retries where a run is ruled out or may be repeated, drains on SIGTERM and rereads settings on SIGHUP. platform/ holds the names, formats and calls; relay and dispatch decide.

--- a/Makefile
+++ b/Makefile
@@ -11,13 +11,13 @@
 SAN_asan := -O1 -DPOND_INVARIANTS_FATAL -fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer
 SAN_tsan := -O1 -DPOND_INVARIANTS_FATAL -fsanitize=thread
 SAN := $(SAN_$(VARIANT))
-CPPFLAGS := -Isrc -Itests -Itests/unit -D_GNU_SOURCE $(shell pkg-config --cflags $(PKGS))
+CPPFLAGS := -Isrc -I. -Itests -Itests/unit -D_GNU_SOURCE $(shell pkg-config --cflags $(PKGS))
 CFLAGS := -std=c11 -g -pthread $(SAN) $(WARN)
 CXXFLAGS := -std=c++17 -g -pthread $(SAN) -Wall -Wextra -fno-exceptions
 LDFLAGS := -pthread $(SAN)
 LDLIBS := $(shell pkg-config --libs $(PKGS)) -lm -lstdc++
 
-LIB_SRC := $(filter-out src/cli/main.c,$(sort $(wildcard src/*/*.c)))
+LIB_SRC := $(filter-out src/cli/main.c,$(sort $(wildcard src/*/*.c platform/*.c)))
 LIB_CXX := $(sort $(wildcard src/*/*.cc))
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cc=$(BUILD)/%.o)
 FAKE_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard tests/fakes/*.c)))
@@ -32,7 +32,7 @@
 BENCH_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(filter-out $(BENCH_SRC),$(sort $(wildcard bench/*.c))))
 SOAK_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard tests/soak/*.c)))
 BIN := $(BUILD)/sapphirepond
-FORMAT_SRC := $(filter-out %.pb-c.c %.pb-c.h,$(sort $(wildcard src/*/*.[ch] tests/*/*.[ch] bench/*.[ch])))
+FORMAT_SRC := $(filter-out %.pb-c.c %.pb-c.h,$(sort $(wildcard src/*/*.[ch] platform/*.[ch] tests/*/*.[ch] bench/*.[ch])))
 TIDY_SRC := $(filter %.c,$(FORMAT_SRC))
 
 all: $(if $(wildcard src/cli/main.c),$(BIN)) $(UNIT_BIN) $(STANDIN_BIN) $(BENCH_BIN) $(if $(SOAK_OBJ),$(BUILD)/soak)
@@ -156,3 +156,10 @@
 .PHONY: all bench bench-budgets bench-members bench-routing bench-tickets capacity check check-format check-lint clean demo format proto soak soak-faults soak-one tests help
 .SECONDARY:
 -include $(shell find build -name '*.d' 2>/dev/null)
+
+# What the platform runs; needs none of the tests.
+release: target/sapphirepond
+target/sapphirepond: $(BIN)
+	@mkdir -p target
+	cp $< $@
+.PHONY: release
--- a/src/cli/cli_serve.c
+++ b/src/cli/cli_serve.c
@@ -11,8 +11,12 @@
 #include "cli/exit_codes.h"
 #include "core/log.h"
 #include "core/loop.h"
+#include "entry/entry_host.h"
 #include "host/host.h"
 
+/* Names the settings file where no option does. */
+#define SETTINGS_VARIABLE "SAPPHIREPOND_SETTINGS"
+
 static void
 on_signal (struct tevent_context *ev, struct tevent_signal *se, int signum, int count, void *info,
            void *data)
@@ -51,6 +55,71 @@
   return code;
 }
 
+/* --- Interface of the users' platform ---------------------------------------------------- */
+
+typedef struct
+{
+  const char *path;
+  EntryHost *host;
+  const void *ctx;
+} Served;
+
+static void
+on_stop_signal (struct tevent_context *ev, struct tevent_signal *se, int signum, int count,
+                void *info, void *data)
+{
+  (void)ev;
+  (void)se;
+  (void)signum;
+  (void)count;
+  (void)info;
+  entry_host_drain (((Served *)data)->host);
+}
+
+static void
+on_reload_signal (struct tevent_context *ev, struct tevent_signal *se, int signum, int count,
+                  void *info, void *data)
+{
+  Served *s = data;
+  Problems *problems = problems_new (s->ctx, s->path);
+  Settings *settings = settings_load (s->ctx, s->path, problems);
+
+  (void)ev;
+  (void)se;
+  (void)signum;
+  (void)count;
+  (void)info;
+  if (settings)
+    entry_host_reload (s->host, settings);
+  else
+    log_event (LOG_LEVEL_ERR, "host", "settings_invalid", "problems=%zu first=\"%s\"", problems->n,
+               problems->n ? problems->list[0].text : "");
+  talloc_free (problems);
+}
+
+static int
+serve_platform (const void *ctx, const char *path, const Settings *settings)
+{
+  Loop *control = loop_new (ctx);
+  Served served = { .path = path, .ctx = ctx };
+  int code;
+
+  if (!control)
+    return CLI_FAILED;
+  log_set_level (settings->log_level);
+  signal (SIGPIPE, SIG_IGN);
+  served.host = entry_host_new (ctx, control, settings);
+  if (!served.host)
+    return CLI_FAILED;
+  tevent_add_signal (loop_tevent (control), control, SIGTERM, 0, on_stop_signal, &served);
+  tevent_add_signal (loop_tevent (control), control, SIGINT, 0, on_stop_signal, &served);
+  tevent_add_signal (loop_tevent (control), control, SIGHUP, 0, on_reload_signal, &served);
+  loop_run (control);
+  code = entry_host_is_drained (served.host) ? CLI_OK : CLI_INCOMPLETE;
+  talloc_free (served.host);
+  return code;
+}
+
 static int
 serve_file (const void *ctx, const char *path)
 {
@@ -64,7 +133,8 @@
       return CLI_INVALID;
     }
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  code = serve (ctx, settings);
+  code
+      = settings->platform_interface ? serve_platform (ctx, path, settings) : serve (ctx, settings);
   curl_global_cleanup ();
   return code;
 }
@@ -87,6 +157,8 @@
 
   if (!cli_args (&args, &argc, &argv, &code))
     return code;
+  if (!path)
+    path = g_strdup (g_getenv (SETTINGS_VARIABLE));
   if (!path)
     {
       fprintf (stderr, "sapphirepond serve: --settings FILE is missing\n");
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,39 @@
+/** @file
+ * The entry for callers: worker threads, each with an HTTP server, an HTTP client and the relays of its
+ * requests. */
+#pragma once
+
+#include "catalog/catalog_store.h"
+#include "relay/relay.h"
+
+typedef struct Entry Entry;
+
+typedef struct
+{
+  const char *listen; /* "IP:port" */
+  unsigned workers;   /* with one, it works on the control loop */
+  unsigned max_connections;
+  size_t max_header;
+  size_t max_body;
+  int64_t read_timeout_ms;
+  int64_t idle_timeout_ms;
+  int64_t connect_timeout_ms;
+  size_t max_answer;
+  Loop *control;
+  CatalogStore *catalog;
+  Dispatch *dispatch;
+  Budgets *budgets;
+  Dialect *dialect;
+} EntryOptions;
+
+/** Opens the port. @return a talloc object under @p ctx, or NULL after a log line. */
+Entry *entry_new (const void *ctx, const EntryOptions *options);
+
+/** @return requests that have begun and are not answered. */
+size_t entry_open_requests (const Entry *entry);
+
+/** Has each answer end its connection from now on. */
+void entry_start_closing (Entry *entry);
+
+/** Takes over the limits of a configuration. */
+void entry_set_timeouts (Entry *entry, int64_t read_timeout_ms, int64_t idle_timeout_ms);
--- /dev/null
+++ b/src/entry/entry_call.h
@@ -0,0 +1,23 @@
+/** @file
+ * One HTTP request of a caller, between the HTTP server and its relay. */
+#pragma once
+
+#include <stdatomic.h>
+
+#include "catalog/catalog_store.h"
+#include "http/server.h"
+#include "relay/relay.h"
+
+/** What the calls of one worker share. */
+typedef struct
+{
+  RelayDeps deps;
+  CatalogStore *catalog;
+  atomic_long open; /* requests that are not over */
+} EntryShared;
+
+/** Events for HttpServerOptions, with an EntryShared as data. */
+const HttpServerEvents *entry_call_events (void);
+
+/** The body of the answer to a request that does not arrive in time. */
+const char *entry_call_timeout_answer (void);
--- /dev/null
+++ b/src/entry/readiness.c
@@ -0,0 +1,55 @@
+#include "entry/readiness.h"
+
+#include <talloc.h>
+
+#include "http/server.h"
+
+#define READ_TIMEOUT_MS 10000
+#define MAX_CONNECTIONS 32
+#define MAX_HEADER      4096
+
+struct Readiness
+{
+  bool (*ready) (void *data);
+  void *data;
+  HttpServer *server;
+};
+
+static void
+on_request (void *data, HttpCall *call, HttpFault fault)
+{
+  Readiness *r = data;
+  bool ready = !fault && r->ready (r->data);
+
+  http_call_answer (call, ready ? 200 : 503, NULL, 0, "", 0);
+}
+
+static void
+ignore (void *data, HttpCall *call)
+{
+  (void)data;
+  (void)call;
+}
+
+static const HttpServerEvents EVENTS = { on_request, ignore, ignore, ignore };
+
+Readiness *
+readiness_new (const void *ctx, Loop *loop, const char *listen, bool (*ready) (void *data),
+               void *data)
+{
+  Readiness *r = talloc_zero (ctx, Readiness);
+  HttpServerOptions options = { .listen = listen,
+                                .max_header = MAX_HEADER,
+                                .read_timeout_ms = READ_TIMEOUT_MS,
+                                .max_connections = MAX_CONNECTIONS,
+                                .events = &EVENTS,
+                                .data = r };
+
+  r->ready = ready;
+  r->data = data;
+  r->server = http_server_new (r, loop, &options);
+  if (r->server)
+    return r;
+  talloc_free (r);
+  return NULL;
+}
--- /dev/null
+++ b/src/relay/dialect.h
@@ -0,0 +1,48 @@
+/** @file
+ * What differs between the interfaces that the system speaks: names and formats of requests and answers.
+ * A dialect decodes and encodes; it decides nothing. Stateless; any thread. */
+#pragma once
+
+#include "backend/backend.h"
+#include "http/server.h"
+#include "relay/relay_request.h"
+
+typedef struct Dialect Dialect;
+
+/** What a request is sent with. */
+typedef struct
+{
+  const char *server; /* id of the server that is meant */
+  int64_t time_left_ms;
+  const char *last_event_id; /* the stream goes on after this event; or NULL */
+} RelaySend;
+
+typedef struct
+{
+  char **lines; /* "Name: value" */
+  size_t n;
+} HeaderLines;
+
+typedef struct
+{
+  /** Decodes a request. @p catalog may be NULL. The strings live as long as @p ctx.
+   * @return false with the error to answer. */
+  bool (*decode) (Dialect *dialect, const void *ctx, HttpCall *call, const Catalog *catalog,
+                  RelayRequest *request, Err *err);
+  /** Writes the headers of a request to a server. */
+  void (*encode) (Dialect *dialect, const void *ctx, const RelayRequest *request,
+                  const RelaySend *send, HeaderLines *headers);
+  /** Decodes the head of an answer. */
+  void (*read_head) (Dialect *dialect, const RelayRequest *request, BackendCall *call,
+                     RelayHead *head);
+  /** @return whether a header of an answer is passed on to the caller. */
+  bool (*returns_header) (Dialect *dialect, const char *name);
+  /** @return the body of an error answer, a talloc string under @p ctx. */
+  char *(*error_body) (Dialect *dialect, const void *ctx, const char *request_id, const Err *err,
+                       Outcome outcome);
+} DialectOps;
+
+struct Dialect
+{
+  const DialectOps *ops;
+};
--- /dev/null
+++ b/src/relay/relay.h
@@ -0,0 +1,59 @@
+/** @file
+ * The state machine of one caller request, free of sockets: reserve budget, choose a server, send, pass
+ * the answer on, settle. Every call is on the worker's thread. */
+#pragma once
+
+#include "backend/backend.h"
+#include "budget/budgets.h"
+#include "core/timers.h"
+#include "dispatch/dispatch.h"
+#include "relay/dialect.h"
+#include "relay/relay_request.h"
+
+typedef struct Relay Relay;
+
+/** Where the answer goes. The entry implements it over HTTP; tests record it. */
+typedef struct
+{
+  /** A whole answer. */
+  void (*answer) (void *data, int status, const RelayHeader *headers, size_t n_headers,
+                  const char *body, size_t len);
+  /** Starts a streamed answer. */
+  void (*begin) (void *data, int status, const RelayHeader *headers, size_t n_headers);
+  /** @return false to hold back until relay_caller_ready(); the bytes are taken all the same. */
+  bool (*write) (void *data, const char *bytes, size_t len);
+  /** Ends a streamed answer that is complete. */
+  void (*end) (void *data);
+  /** Breaks a streamed answer off, so that it cannot be taken for complete. */
+  void (*abort) (void *data);
+  /** The relay is about to be freed: drop the pointer to it. */
+  void (*released) (void *data);
+} RelayCaller;
+
+/** What a relay needs from the rest of the host. */
+typedef struct
+{
+  Timers *timers;
+  Poster poster; /* to the worker's own loop */
+  Backend *backend;
+  Dispatch *dispatch;
+  Budgets *budgets;
+  Dialect *dialect;
+  size_t max_answer; /* bytes of an answer that is not streamed */
+} RelayDeps;
+
+/** Starts a relay, which frees itself after released. @p request and what it points to must live in
+ * @p memory, which the relay takes over.
+ * @return the relay, or NULL if it has been answered already. */
+Relay *relay_new (const RelayDeps *deps, void *memory, const RelayRequest *request,
+                  int64_t received_ms, const RelayCaller *caller, void *caller_data);
+
+/** The caller went away: no more calls to RelayCaller; the work is cancelled. */
+void relay_caller_gone (Relay *relay);
+
+/** The caller's buffer is empty again after write returned false. */
+void relay_caller_ready (Relay *relay);
+
+/** Answers a request that does not get as far as a relay. */
+void relay_refuse (const RelayDeps *deps, const char *request_id, const Err *err,
+                   const RelayCaller *caller, void *caller_data);
--- /dev/null
+++ b/src/relay/relay_attempt.c
@@ -0,0 +1,318 @@
+#include "relay/relay_impl.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <talloc.h>
+
+#include "core/counter.h"
+#include "core/invariant.h"
+#include "core/log.h"
+#include "relay/relay_counters.h"
+
+#define MAX_EVENT_BYTES 65536
+
+/* The adapter's own time limit lies behind the deadline, whose timer decides. */
+#define TIMEOUT_SLACK_MS 2000
+
+/* A connection that was idle for longer may have been closed at the other end; a request that must not
+ * run twice would be lost with it. */
+#define IDLE_LIMIT_MS 2000
+
+static void fail_attempt (Relay *r, Attempt *a, FailurePoint point, ErrKind kind);
+
+/* --- Start ------------------------------------------------------------------------------- */
+
+static void
+fill_query (const Relay *r, DispatchQuery *q)
+{
+  const RelayRequest *request = r->request;
+
+  *q = (DispatchQuery){ .service = request->service,
+                        .now_ms = timers_now_ms (r->deps->timers),
+                        .objective_ms = request->objective_ms,
+                        .priority = request->priority,
+                        .repeat = r->sends > 0,
+                        .prompt_tokens = request->prompt_tokens,
+                        .max_tokens = request->max_tokens,
+                        .parts = request->parts,
+                        .n_parts = request->n_parts };
+  for (size_t i = 0; i < r->n_tried; i++)
+    q->tried[i] = r->tried[i];
+  q->n_tried = r->n_tried;
+}
+
+static BackendCall *
+send_request (Relay *r, Attempt *a)
+{
+  const RelayRequest *q = r->request;
+  void *tmp = talloc_new (a);
+  HeaderLines lines = { 0 };
+  RelaySend send = { .server = flight_server (a->flight),
+                     .time_left_ms = r->deadline_ms - a->started_ms,
+                     .last_event_id = r->last_event_id[0] ? r->last_event_id : q->last_event_id };
+  BackendRequest request = { .address = flight_address (a->flight),
+                             .method = q->method,
+                             .target = q->target,
+                             .body = q->body,
+                             .body_len = q->body_len,
+                             .timeout_ms = send.time_left_ms + TIMEOUT_SLACK_MS,
+                             .many_small_reads = q->kind == CALL_STREAM,
+                             .max_idle_ms = IDLE_LIMIT_MS };
+  BackendCall *call;
+
+  r->deps->dialect->ops->encode (r->deps->dialect, tmp, q, &send, &lines);
+  request.headers = (const char *const *)lines.lines;
+  request.n_headers = lines.n;
+  call = backend_start (r->deps->backend, &request, &relay_backend_events, a);
+  talloc_free (tmp);
+  return call;
+}
+
+void
+relay_try (Relay *r)
+{
+  DispatchQuery query;
+  Attempt *a;
+  Err err = ERR_INIT;
+  Flight *flight;
+
+  fill_query (r, &query);
+  flight = dispatch_pick (r->deps->dispatch, r, &query, &err);
+  if (!flight)
+    {
+      relay_fail (r, &err);
+      return;
+    }
+  a = talloc_zero (r, Attempt);
+  a->relay = r;
+  a->flight = flight;
+  a->number = ++r->sends;
+  a->started_ms = query.now_ms;
+  a->sse.max = MAX_EVENT_BYTES;
+  r->attempt = a;
+  r->state = RELAY_SENT;
+  snprintf (r->server, sizeof r->server, "%s", flight_server (flight));
+  a->call = send_request (r, a);
+  if (!a->call)
+    fail_attempt (r, a, FAIL_BEFORE_CONNECT, ERR_CONNECT_FAILED);
+}
+
+/* --- End --------------------------------------------------------------------------------- */
+
+/* The object stays until the relay ends: an event that comes late must find it. */
+void
+relay_drop_attempt (Relay *r, FlightEnd end)
+{
+  Attempt *a = r->attempt;
+
+  if (!a)
+    return;
+  r->attempt = NULL;
+  if (a->call)
+    {
+      FailurePoint point = backend_cancel (a->call);
+
+      a->call = NULL;
+      if (!failure_is_not_run (point))
+        r->runs++;
+      else if (end == FLIGHT_FAILED)
+        end = FLIGHT_UNREACHABLE;
+    }
+  flight_end (a->flight, end, timers_now_ms (r->deps->timers));
+  a->flight = NULL;
+}
+
+static FlightEnd
+flight_end_of (const Attempt *a, FailurePoint point)
+{
+  if (a->verdict == VERDICT_OTHER_SERVER)
+    return FLIGHT_MISDIRECTED;
+  if (point == FAIL_REFUSED)
+    return FLIGHT_REJECTED;
+  if (point == FAIL_BEFORE_CONNECT || point == FAIL_IN_CONNECT)
+    return FLIGHT_UNREACHABLE;
+  return FLIGHT_FAILED;
+}
+
+static void
+log_retry (const Relay *r, const Attempt *a, ErrKind kind, ErrKind refusal)
+{
+  log_event (LOG_LEVEL_INFO, "relay", refusal == ERR_NONE ? "retry" : "no_retry",
+             "id=%s server=%s attempt=%d reason=%s rule=%s runs=%d events=%" PRId64
+             " left_ms=%" PRId64,
+             r->request->id, r->server, a->number, err_info (kind)->name, err_info (refusal)->name,
+             r->runs, r->events, r->deadline_ms - timers_now_ms (r->deps->timers));
+}
+
+static void
+fail_attempt (Relay *r, Attempt *a, FailurePoint point, ErrKind kind)
+{
+  const RelayRequest *q = r->request;
+  RetryFacts facts = { .point = point,
+                       .repeatable = q->repeatable,
+                       .resumable = q->resumable,
+                       .begun = r->begun,
+                       .max_runs = q->max_attempts,
+                       .sends = r->sends,
+                       .time_left_ms = r->deadline_ms - timers_now_ms (r->deps->timers) };
+  ErrKind refusal;
+  Err err = ERR_INIT;
+
+  a->call = NULL;
+  relay_drop_attempt (r, flight_end_of (a, point));
+  if (!failure_is_not_run (point))
+    r->runs++;
+  facts.runs = r->runs;
+  refusal = retry_rule (&facts);
+  log_retry (r, a, kind, refusal);
+  if (refusal == ERR_NONE)
+    {
+      INVARIANT ("runs_once", q->repeatable || r->runs == 0, "request %s", q->id);
+      relay_count_retry (kind);
+      if (r->n_tried < DISPATCH_MAX_TRIED)
+        r->tried[r->n_tried++] = talloc_strdup (r, r->server);
+      relay_try (r);
+      return;
+    }
+  err_set (&err, kind, "server %s, attempt %d: %s", r->server, a->number, err_info (kind)->name);
+  if (r->begun)
+    relay_give_up (r, kind);
+  else
+    relay_fail (r, &err);
+}
+
+/* --- Events of the server ---------------------------------------------------------------- */
+
+static bool
+is_late (const Attempt *a)
+{
+  if (a->relay->attempt == a)
+    return false;
+  counter_add (relay_counters ()->late_events, 1);
+  return true;
+}
+
+static Verdict
+verdict_of (const Attempt *a)
+{
+  if (a->head.is_other)
+    return VERDICT_OTHER_SERVER;
+  if (a->head.not_run)
+    return VERDICT_REJECTED;
+  if (!a->head.matches)
+    return VERDICT_MISMATCHED;
+  if (a->head.status < 300 && !a->head.sealed)
+    return VERDICT_UNUSABLE;
+  return VERDICT_NONE;
+}
+
+static bool
+on_headers (void *data, BackendCall *call, int status)
+{
+  Attempt *a = data;
+  Relay *r = a->relay;
+  int64_t now = timers_now_ms (r->deps->timers);
+
+  if (is_late (a))
+    return false;
+  a->answered = true;
+  a->head.status = status;
+  r->deps->dialect->ops->read_head (r->deps->dialect, r->request, call, &a->head);
+  if (a->head.has_load && a->head.matches)
+    flight_report_load (a->flight, a->head.running, a->head.waiting, a->head.slots, now);
+  a->verdict = verdict_of (a);
+  if (a->verdict == VERDICT_MISMATCHED || a->verdict == VERDICT_UNUSABLE)
+    return false;
+  a->streaming = r->request->kind == CALL_STREAM && status == 200 && a->verdict == VERDICT_NONE;
+  if (!a->streaming)
+    flight_first (a->flight, now);
+  return true;
+}
+
+static BackendFlow
+keep_body (Relay *r, Attempt *a, const char *bytes, size_t len)
+{
+  if (a->body_len + len > r->deps->max_answer)
+    {
+      a->verdict = VERDICT_UNUSABLE;
+      return BACKEND_ABORT;
+    }
+  a->body = talloc_realloc_size (a, a->body, a->body_len + len);
+  memcpy (a->body + a->body_len, bytes, len);
+  a->body_len += len;
+  return BACKEND_MORE;
+}
+
+static BackendFlow
+on_body (void *data, const char *bytes, size_t len)
+{
+  Attempt *a = data;
+
+  if (is_late (a) || a->verdict == VERDICT_MISMATCHED || a->verdict == VERDICT_UNUSABLE)
+    return BACKEND_ABORT;
+  if (a->streaming)
+    return relay_stream_bytes (a->relay, a, bytes, len);
+  return keep_body (a->relay, a, bytes, len);
+}
+
+static void
+on_failed (void *data, FailurePoint point, bool timed_out)
+{
+  Attempt *a = data;
+  Relay *r = a->relay;
+
+  if (is_late (a))
+    return;
+  /* Whatever came after such a head, the server has said that it did not run the request. */
+  if (a->verdict == VERDICT_REJECTED || a->verdict == VERDICT_OTHER_SERVER)
+    fail_attempt (r, a, FAIL_REFUSED,
+                  a->verdict == VERDICT_REJECTED ? ERR_SERVER_REFUSED : ERR_SERVER_LEAVING);
+  else if (a->verdict == VERDICT_MISMATCHED)
+    fail_attempt (r, a, FAIL_MISMATCHED, ERR_ANSWER_MISMATCH);
+  else if (a->verdict == VERDICT_UNUSABLE)
+    fail_attempt (r, a, FAIL_PARTLY_ANSWERED, ERR_SERVER_FAILED);
+  else if (point == FAIL_PARTLY_ANSWERED)
+    fail_attempt (r, a, point, ERR_ANSWER_TRUNCATED);
+  else if (failure_is_not_run (point))
+    fail_attempt (r, a, point, ERR_CONNECT_FAILED);
+  else
+    fail_attempt (r, a, point, timed_out ? ERR_DEADLINE_EXCEEDED : ERR_SERVER_FAILED);
+}
+
+/* An answer of the server that reports a failure may be replaced by that of another server. */
+static bool
+is_worth_another (const Relay *r, const Attempt *a)
+{
+  RetryFacts facts = { .point = FAIL_SENT_SILENT,
+                       .repeatable = r->request->repeatable,
+                       .max_runs = r->request->max_attempts,
+                       .runs = r->runs + 1,
+                       .sends = r->sends,
+                       .time_left_ms = r->deadline_ms - timers_now_ms (r->deps->timers) };
+
+  return a->head.status >= 500 && retry_rule (&facts) == ERR_NONE;
+}
+
+static void
+on_end (void *data)
+{
+  Attempt *a = data;
+  Relay *r = a->relay;
+
+  if (is_late (a))
+    return;
+  if (a->verdict != VERDICT_NONE)
+    on_failed (a, FAIL_PARTLY_ANSWERED, false);
+  else if (a->streaming && a->sse.len > 0)
+    fail_attempt (r, a, FAIL_PARTLY_ANSWERED, ERR_ANSWER_TRUNCATED);
+  else if (a->streaming)
+    relay_finish_stream (r);
+  else if (is_worth_another (r, a))
+    fail_attempt (r, a, FAIL_SENT_SILENT, ERR_SERVER_FAILED);
+  else
+    relay_finish_plain (r, a);
+}
+
+const BackendEvents relay_backend_events = { on_headers, on_body, on_end, on_failed };
--- /dev/null
+++ b/src/relay/relay_counters.c
@@ -0,0 +1,40 @@
+#include "relay/relay_counters.h"
+
+#include <pthread.h>
+#include <stdio.h>
+
+static RelayCounters counters;
+static pthread_once_t once = PTHREAD_ONCE_INIT;
+
+static void
+make (void)
+{
+  counters.requests = counter_get ("pond_requests_total", "", "Requests received.");
+  counters.open = gauge_get ("pond_open_requests", "", "Requests being worked on.");
+  counters.late_events
+      = counter_get ("pond_late_events_total", "", "Events of an earlier attempt, dropped.");
+  counters.pauses
+      = counter_get ("pond_stream_pauses_total", "", "Streams held back for a slow reader.");
+  counters.tokens_delivered
+      = counter_get ("pond_tokens_delivered_total", "", "Tokens of answers passed on.");
+  counters.duration = histogram_get ("pond_request_seconds", "From request line to answer.");
+  counters.first_event
+      = histogram_get ("pond_first_event_seconds", "From request line to a stream's first event.");
+  counters.gap = histogram_get ("pond_event_gap_seconds", "Time between events of a stream.");
+}
+
+const RelayCounters *
+relay_counters (void)
+{
+  pthread_once (&once, make);
+  return &counters;
+}
+
+void
+relay_count_retry (ErrKind reason)
+{
+  char labels[96];
+
+  snprintf (labels, sizeof labels, "reason=\"%s\"", err_info (reason)->name);
+  counter_add (counter_get ("pond_retries_total", labels, "Requests sent again, by reason."), 1);
+}
--- /dev/null
+++ b/src/relay/relay_stream.c
@@ -0,0 +1,111 @@
+#include "relay/relay_impl.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "core/counter.h"
+#include "relay/relay_counters.h"
+
+/* @return the value of the event's id line; NULL if it has none. */
+static const char *
+event_id (const char *event, size_t len, size_t *id_len)
+{
+  const char *at = event;
+  const char *end = event + len;
+
+  while (at < end)
+    {
+      const char *newline = memchr (at, '\n', (size_t)(end - at));
+      size_t n = newline ? (size_t)(newline - at) : (size_t)(end - at);
+
+      if (n > 3 && !memcmp (at, "id:", 3))
+        {
+          at += 3;
+          n -= 3;
+          while (n > 0 && *at == ' ')
+            {
+              at++;
+              n--;
+            }
+          while (n > 0 && at[n - 1] == '\r')
+            n--;
+          *id_len = n;
+          return at;
+        }
+      at += n + 1;
+    }
+  return NULL;
+}
+
+static void
+note_time (Relay *r, Attempt *a)
+{
+  int64_t now = timers_now_ms (r->deps->timers);
+
+  if (r->events == 1)
+    {
+      r->first_ms = now - r->received_ms;
+      histogram_add (relay_counters ()->first_event, r->first_ms * 1000);
+    }
+  else
+    {
+      int64_t gap = now - r->last_event_ms;
+
+      histogram_add (relay_counters ()->gap, gap * 1000);
+      if (gap > r->longest_gap_ms)
+        r->longest_gap_ms = gap;
+    }
+  r->last_event_ms = now;
+  flight_first (a->flight, now);
+}
+
+static void
+begin (Relay *r, Attempt *a)
+{
+  size_t n;
+  RelayHeader *headers = relay_headers (a, r, a->call, &n);
+
+  r->begun = true;
+  r->status = a->head.status;
+  r->caller->begin (r->caller_data, a->head.status, headers, n);
+  talloc_free (headers);
+}
+
+/* A stream that was resumed goes on after the last event that was passed on. */
+static bool
+on_event (void *data, const char *event, size_t len)
+{
+  Attempt *a = data;
+  Relay *r = a->relay;
+  size_t id_len = 0;
+  const char *id = event_id (event, len, &id_len);
+
+  if (!r->begun)
+    begin (r, a);
+  if (id && id_len < sizeof r->last_event_id)
+    {
+      memcpy (r->last_event_id, id, id_len);
+      r->last_event_id[id_len] = '\0';
+    }
+  r->events++;
+  counter_add (relay_counters ()->tokens_delivered, r->request->event_tokens);
+  note_time (r, a);
+  if (!r->caller->write (r->caller_data, event, len))
+    r->blocked = true;
+  return true;
+}
+
+BackendFlow
+relay_stream_bytes (Relay *r, Attempt *a, const char *bytes, size_t len)
+{
+  if (r->blocked)
+    {
+      counter_add (relay_counters ()->pauses, 1);
+      return BACKEND_PAUSE;
+    }
+  if (sse_feed (&a->sse, a, bytes, len, on_event, a))
+    return BACKEND_MORE;
+  a->verdict = VERDICT_UNUSABLE;
+  return BACKEND_ABORT;
+}
