End a reservation that still waits as unused

Change: reservation_settle() of one that waits has nothing to settle. test_budget plays it and failed before; it brings the fake store (lost, late, refused, silent, history dropped) and a world of several hosts.

--- a/src/budget/budgets.c
+++ b/src/budget/budgets.c
@@ -400,8 +400,12 @@
   Budgets *b = r->account->owner;
 
   pthread_mutex_lock (&b->lock);
-  budget_account_settle (&r->account->state, r->tokens, spent, now_ms);
-  r->tokens = 0;
+  /* One that still waits has reserved nothing. */
+  if (!r->waiting)
+    {
+      budget_account_settle (&r->account->state, r->tokens, spent, now_ms);
+      r->tokens = 0;
+    }
   pthread_mutex_unlock (&b->lock);
   talloc_free (r);
 }
--- /dev/null
+++ b/tests/fakes/fake_store.h
@@ -0,0 +1,39 @@
+/** @file
+ * The store in memory under virtual time, with one port per host and switches for its faults. */
+#pragma once
+
+#include "core/rng.h"
+#include "core/timers.h"
+#include "store/store.h"
+
+typedef struct FakeStore FakeStore;
+
+/** What one host meets. */
+typedef struct
+{
+  Store store;
+  FakeStore *owner;
+  bool silent;        /* calls are lost before they reach the store */
+  bool refused;       /* calls are refused, nothing is done */
+  double lost;        /* share of transactions that are done and not answered */
+  double late;        /* share of transactions that are done seconds later and not answered */
+  int64_t latency_ms; /* of one way */
+  int txns;           /* calls that arrived */
+  int reads;
+  int feeds;
+} FakePort;
+
+/** @return a talloc object under @p ctx. */
+FakeStore *fake_store_new (const void *ctx, Timers *timers, Rng *rng);
+
+/** @return a port under the store. */
+FakePort *fake_store_port (FakeStore *store);
+
+/** Forgets changes up to now, so that feeds from before fail with missing history. */
+void fake_store_compact (FakeStore *store);
+
+/** Writes or, with NULL, removes a row from outside. */
+void fake_store_put (FakeStore *store, const StoreKey *key, const char *value);
+
+/** @return the value of a row, or NULL. */
+const char *fake_store_value (FakeStore *store, const StoreKey *key);
--- /dev/null
+++ b/tests/unit/budget_world.c
@@ -0,0 +1,137 @@
+#include "budget_world.h"
+
+#include <stdio.h>
+
+#include <talloc.h>
+
+typedef struct
+{
+  LoopFn fn;
+  void *data;
+} Posted;
+
+static void
+run_posted (void *data)
+{
+  Posted p = *(Posted *)data;
+
+  talloc_free (data);
+  p.fn (p.data);
+}
+
+static void
+post (void *target, LoopFn fn, void *data)
+{
+  BudgetWorld *w = target;
+  Posted *p = talloc (w, Posted);
+
+  *p = (Posted){ fn, data };
+  timers_start (w->timers, w, 0, run_posted, p);
+}
+
+static void
+start_host (BudgetWorld *w, int i)
+{
+  BudgetHost *h = &w->hosts[i];
+  char name[16];
+  BudgetsOptions options
+      = { .host = name,
+          .incarnation = ++w->incarnations,
+          .store = &h->port->store,
+          .timers = w->timers,
+          .control = { post, w },
+          .rng = &h->rng,
+          .policy = { .horizon_ms = 10000, .scarce_horizon_ms = 2000, .scarce_pct = 20 } };
+
+  snprintf (name, sizeof name, "host-%d", i);
+  rng_seed (&h->rng, rng_next (&w->rng));
+  h->budgets = budgets_new (w, &options);
+  budgets_set_hosts (h->budgets, w->n_hosts);
+}
+
+BudgetWorld *
+budget_world_new (int hosts, uint64_t seed)
+{
+  BudgetWorld *w = talloc_zero (NULL, BudgetWorld);
+
+  w->vt = virtual_timers_new (w, 1000);
+  w->timers = virtual_timers_service (w->vt);
+  rng_seed (&w->rng, seed);
+  w->store = fake_store_new (w, w->timers, &w->rng);
+  w->n_hosts = hosts;
+  for (int i = 0; i < hosts; i++)
+    {
+      w->hosts[i].port = fake_store_port (w->store);
+      start_host (w, i);
+    }
+  return w;
+}
+
+void
+budget_world_configure_host (BudgetWorld *w, int host, const char *account, Tokens limit,
+                             int64_t version)
+{
+  CatalogBuilder *b = catalog_builder_new (NULL, version);
+  CatalogAccount a = { .name = account, .priority = -1, .limited = true, .budget = limit };
+  const Catalog *c;
+
+  catalog_add_account (b, &a);
+  c = catalog_finish (b);
+  budgets_configure (w->hosts[host].budgets, c);
+  catalog_unref (c);
+}
+
+void
+budget_world_configure (BudgetWorld *w, const char *account, Tokens limit, int64_t version)
+{
+  for (int i = 0; i < w->n_hosts; i++)
+    budget_world_configure_host (w, i, account, limit, version);
+}
+
+void
+budget_world_run (BudgetWorld *w, int64_t ms)
+{
+  virtual_timers_run (w->vt, timers_now_ms (w->timers) + ms);
+}
+
+static void
+on_answer (void *data, const Err *err)
+{
+  BudgetClaim *claim = data;
+
+  claim->answered = true;
+  claim->refused = err ? err->kind : ERR_NONE;
+}
+
+void
+budget_world_claim (BudgetWorld *w, int host, const char *account, Tokens tokens,
+                    BudgetClaim *claim)
+{
+  ReserveRequest request = { .account = account,
+                             .tokens = tokens,
+                             .now_ms = timers_now_ms (w->timers),
+                             .caller = { post, w },
+                             .fn = on_answer,
+                             .data = claim };
+  bool waits = false;
+  Err err = ERR_INIT;
+
+  *claim = (BudgetClaim){ 0 };
+  claim->reservation = budgets_reserve (w->hosts[host].budgets, w, &request, &waits, &err);
+  claim->answered = !claim->reservation || !waits;
+  claim->refused = claim->reservation ? ERR_NONE : err.kind;
+}
+
+void
+budget_world_settle (BudgetWorld *w, BudgetClaim *claim, Tokens spent)
+{
+  reservation_settle (claim->reservation, spent, timers_now_ms (w->timers));
+  claim->reservation = NULL;
+}
+
+void
+budget_world_restart (BudgetWorld *w, int host)
+{
+  TALLOC_FREE (w->hosts[host].budgets);
+  start_host (w, host);
+}
--- /dev/null
+++ b/tests/unit/budget_world.h
@@ -0,0 +1,55 @@
+/** @file
+ * Hosts that draw on budgets of one fake store, under virtual time. */
+#pragma once
+
+#include "budget/budgets.h"
+#include "fakes/fake_store.h"
+#include "fakes/virtual_timers.h"
+
+#define BUDGET_WORLD_HOSTS 12
+
+typedef struct
+{
+  FakePort *port;
+  Budgets *budgets;
+  Rng rng;
+} BudgetHost;
+
+typedef struct
+{
+  VirtualTimers *vt;
+  Timers *timers;
+  Rng rng;
+  FakeStore *store;
+  BudgetHost hosts[BUDGET_WORLD_HOSTS];
+  int n_hosts;
+  uint64_t incarnations;
+} BudgetWorld;
+
+/** One request's reservation, and how it was answered. */
+typedef struct
+{
+  Reservation *reservation;
+  bool answered;
+  ErrKind refused; /* ERR_NONE: reserved */
+} BudgetClaim;
+
+BudgetWorld *budget_world_new (int hosts, uint64_t seed);
+
+/** Gives every host the configuration that sets one account's limit. */
+void budget_world_configure (BudgetWorld *w, const char *account, Tokens limit, int64_t version);
+void budget_world_configure_host (BudgetWorld *w, int host, const char *account, Tokens limit,
+                                  int64_t version);
+
+/** Runs virtual time on. */
+void budget_world_run (BudgetWorld *w, int64_t ms);
+
+/** Asks for tokens at a host; the claim is filled in then or later. */
+void budget_world_claim (BudgetWorld *w, int host, const char *account, Tokens tokens,
+                         BudgetClaim *claim);
+
+/** Ends a claim that was answered. */
+void budget_world_settle (BudgetWorld *w, BudgetClaim *claim, Tokens spent);
+
+/** Kills a host's process and starts it again with nothing in memory. */
+void budget_world_restart (BudgetWorld *w, int host);
--- a/tests/unit/request_fakes.c
+++ b/tests/unit/request_fakes.c
@@ -247,7 +247,7 @@
   return !strcmp (name, "Content-Type") ? "application/json" : NULL;
 }
 
-const BackendOps world_backend_ops = { start, cancel, resume, header };
+const BackendOps world_backend_ops = { start, cancel, resume, header, NULL };
 
 /* --- Caller ------------------------------------------------------------------------------ */
 
--- /dev/null
+++ b/tests/unit/test_budget.c
@@ -0,0 +1,261 @@
+/* Budgets of several hosts on one store: grants, refusals, faults of the store. */
+#include <stdlib.h>
+#include <talloc.h>
+
+#include "budget_world.h"
+#include "harness.h"
+
+#define ACCOUNT "klubbarna"
+
+static Tokens
+granted (BudgetWorld *w)
+{
+  StoreKey key = { "budgets", ACCOUNT, "account" };
+  const char *value = fake_store_value (w->store, &key);
+
+  return value ? strtoll (value + sizeof "{\"granted\":" - 1, NULL, 10) : 0;
+}
+
+/* Guards against a request that cannot start because the first grant is not there yet. */
+static void
+first_claim_waits_for_a_grant (void)
+{
+  BudgetWorld *w = budget_world_new (1, 1);
+  BudgetClaim claim;
+
+  budget_world_configure (w, ACCOUNT, 100000, 1);
+  budget_world_claim (w, 0, ACCOUNT, 40000, &claim);
+  CU_ASSERT_FALSE (claim.answered);
+  budget_world_run (w, 100);
+  CU_ASSERT_TRUE (claim.answered);
+  CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
+  CU_ASSERT_TRUE (granted (w) >= 40000 && granted (w) <= 100000);
+  budget_world_settle (w, &claim, 1000);
+  talloc_free (w);
+}
+
+/* Guards against tokens that are counted twice when a request ends while it waits for a grant: the end of
+ * a client's wait settled what had never been reserved. */
+static void
+claim_may_end_while_it_waits (void)
+{
+  BudgetWorld *w = budget_world_new (1, 1);
+  BudgetClaim waits;
+  BudgetClaim next;
+
+  budget_world_configure (w, ACCOUNT, 100000, 1);
+  budget_world_claim (w, 0, ACCOUNT, 40000, &waits);
+  CU_ASSERT_FALSE (waits.answered);
+  budget_world_settle (w, &waits, 0);
+  budget_world_run (w, 500);
+  CU_ASSERT_FALSE (waits.answered);
+  budget_world_claim (w, 0, ACCOUNT, 100000, &next);
+  budget_world_run (w, 500);
+  CU_ASSERT_EQUAL (next.refused, ERR_NONE);
+  budget_world_settle (w, &next, 100000);
+  talloc_free (w);
+}
+
+/* The same for a claim that was answered, and whose owner ends before it hears so. */
+static void
+claim_may_end_before_it_hears (void)
+{
+  BudgetWorld *w = budget_world_new (1, 1);
+  BudgetClaim claim;
+  BudgetClaim all;
+
+  budget_world_configure (w, ACCOUNT, 100000, 1);
+  budget_world_claim (w, 0, ACCOUNT, 40000, &claim);
+  while (!claim.answered)
+    virtual_timers_step (w->vt);
+  budget_world_settle (w, &claim, 0);
+  budget_world_run (w, 500);
+  budget_world_claim (w, 0, ACCOUNT, 100000, &all);
+  budget_world_run (w, 500);
+  CU_ASSERT_EQUAL (all.refused, ERR_NONE);
+  talloc_free (w);
+}
+
+/* Guards against "exhausted" while other hosts only hold what is left, and against holding a request that
+ * cannot be served. */
+static void
+refusal_tells_what_the_store_showed (void)
+{
+  BudgetWorld *w = budget_world_new (2, 1);
+  BudgetClaim big;
+  BudgetClaim other;
+
+  budget_world_configure (w, ACCOUNT, 100000, 1);
+  budget_world_claim (w, 0, ACCOUNT, 90000, &big);
+  budget_world_run (w, 300);
+  CU_ASSERT_EQUAL (big.refused, ERR_NONE);
+  budget_world_claim (w, 1, ACCOUNT, 30000, &other);
+  budget_world_run (w, 300);
+  CU_ASSERT_TRUE (other.answered);
+  CU_ASSERT_EQUAL (other.refused, ERR_BUDGET_HELD);
+  budget_world_settle (w, &big, 90000);
+  budget_world_run (w, 1000);
+  budget_world_claim (w, 1, ACCOUNT, 30000, &other);
+  budget_world_run (w, 500);
+  CU_ASSERT_EQUAL (other.refused, ERR_BUDGET_EXHAUSTED);
+  talloc_free (w);
+}
+
+/* Guards against small accounts whose tokens are stuck in the grants of idle hosts. */
+static void
+nearly_all_of_a_small_account_can_be_used (void)
+{
+  BudgetWorld *w = budget_world_new (8, 1);
+  Tokens limit = 320000;
+  Tokens spent = 0;
+  BudgetClaim claim;
+
+  budget_world_configure (w, ACCOUNT, limit, 1);
+  budget_world_run (w, 500);
+  for (int i = 0; i < 2000 && spent < limit * 97 / 100; i++)
+    {
+      budget_world_claim (w, (int)rng_below (&w->rng, 8), ACCOUNT, 2000, &claim);
+      budget_world_run (w, 60);
+      if (claim.refused == ERR_NONE && claim.answered)
+        {
+          budget_world_settle (w, &claim, 1500);
+          spent += 1500;
+        }
+      else
+        talloc_free (claim.reservation);
+    }
+  CU_ASSERT_TRUE (spent >= limit * 97 / 100);
+  CU_ASSERT_TRUE (granted (w) <= limit);
+  talloc_free (w);
+}
+
+/* Guards against holding requests while the store does not answer, and against never asking again. */
+static void
+partition_refuses_at_once_and_heals (void)
+{
+  BudgetWorld *w = budget_world_new (1, 1);
+  BudgetClaim claim;
+
+  budget_world_configure (w, ACCOUNT, 100000, 1);
+  budget_world_run (w, 300);
+  w->hosts[0].port->silent = true;
+  budget_world_claim (w, 0, ACCOUNT, 90000, &claim);
+  budget_world_run (w, 1500);
+  CU_ASSERT_EQUAL (claim.refused, ERR_BUDGET_UNREACHABLE);
+  talloc_free (claim.reservation);
+  budget_world_claim (w, 0, ACCOUNT, 90000, &claim);
+  CU_ASSERT_TRUE (claim.answered);
+  CU_ASSERT_EQUAL (claim.refused, ERR_BUDGET_UNREACHABLE);
+  w->hosts[0].port->silent = false;
+  budget_world_run (w, 2500);
+  budget_world_claim (w, 0, ACCOUNT, 90000, &claim);
+  budget_world_run (w, 500);
+  CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
+  talloc_free (w);
+}
+
+/* Guards against spending beyond the limit when answers of the store are lost or transactions are done
+ * seconds later: what all hosts spent never exceeds the limit, and little of it is lost. */
+static void
+lost_answers_never_overspend (void)
+{
+  for (uint64_t seed = 1; seed <= 40; seed++)
+    {
+      BudgetWorld *w = budget_world_new (4, seed);
+      Tokens limit = 400000;
+      Tokens spent = 0;
+      BudgetClaim claim;
+
+      budget_world_configure (w, ACCOUNT, limit, 1);
+      for (int i = 0; i < 4; i++)
+        {
+          w->hosts[i].port->lost = 0.3;
+          w->hosts[i].port->late = 0.2;
+        }
+      for (int i = 0; i < 1500; i++)
+        {
+          int host = (int)rng_below (&w->rng, 4);
+
+          if (i == 700)
+            for (int k = 0; k < 4; k++)
+              w->hosts[k].port->lost = w->hosts[k].port->late = 0;
+          if (rng_chance (&w->rng, 0.01))
+            budget_world_restart (w, host);
+          if (rng_chance (&w->rng, 0.03) || i == 0)
+            budget_world_configure_host (w, host, ACCOUNT, limit, 1);
+          budget_world_configure_host (w, host, ACCOUNT, limit, 1);
+          budget_world_claim (w, host, ACCOUNT, 3000, &claim);
+          budget_world_run (w, 80);
+          if (claim.reservation && claim.answered && claim.refused == ERR_NONE)
+            {
+              budget_world_settle (w, &claim, 2500);
+              spent += 2500;
+            }
+          else
+            talloc_free (claim.reservation);
+        }
+      CU_ASSERT_TRUE (spent <= limit);
+      CU_ASSERT_TRUE (granted (w) <= limit);
+      talloc_free (w);
+    }
+}
+
+/* Guards against a host with an old configuration that grants beyond a limit that was lowered. */
+static void
+lowered_limit_binds_hosts_that_have_not_heard (void)
+{
+  BudgetWorld *w = budget_world_new (2, 1);
+  BudgetClaim claim;
+
+  budget_world_configure (w, ACCOUNT, 100000, 1);
+  budget_world_run (w, 500);
+  budget_world_configure_host (w, 0, ACCOUNT, 50000, 2);
+  budget_world_claim (w, 0, ACCOUNT, 20000, &claim);
+  budget_world_run (w, 500);
+  budget_world_settle (w, &claim, 20000);
+  budget_world_claim (w, 1, ACCOUNT, 45000, &claim);
+  budget_world_run (w, 1000);
+  CU_ASSERT_NOT_EQUAL (claim.refused, ERR_NONE);
+  CU_ASSERT_TRUE (granted (w) <= 50000);
+  talloc_free (w);
+}
+
+/* Guards against tokens that stay with a host that has ended in good order. */
+static void
+drain_returns_everything (void)
+{
+  BudgetWorld *w = budget_world_new (2, 1);
+  BudgetClaim claim;
+
+  budget_world_configure (w, ACCOUNT, 100000, 1);
+  budget_world_claim (w, 0, ACCOUNT, 30000, &claim);
+  budget_world_run (w, 500);
+  CU_ASSERT_TRUE (budgets_return_all (w->hosts[0].budgets));
+  budget_world_settle (w, &claim, 10000);
+  budget_world_run (w, 300);
+  while (budgets_return_all (w->hosts[0].budgets))
+    budget_world_run (w, 50);
+  budgets_return_all (w->hosts[1].budgets);
+  budget_world_run (w, 300);
+  CU_ASSERT_EQUAL (granted (w), 10000);
+  talloc_free (w);
+}
+
+int
+main (void)
+{
+  static const TestCase CASES[] = {
+    { "first_claim_waits_for_a_grant", first_claim_waits_for_a_grant },
+    { "claim_may_end_while_it_waits", claim_may_end_while_it_waits },
+    { "claim_may_end_before_it_hears", claim_may_end_before_it_hears },
+    { "refusal_tells_what_the_store_showed", refusal_tells_what_the_store_showed },
+    { "nearly_all_of_a_small_account_can_be_used", nearly_all_of_a_small_account_can_be_used },
+    { "partition_refuses_at_once_and_heals", partition_refuses_at_once_and_heals },
+    { "lost_answers_never_overspend", lost_answers_never_overspend },
+    { "lowered_limit_binds_hosts_that_have_not_heard",
+      lowered_limit_binds_hosts_that_have_not_heard },
+    { "drain_returns_everything", drain_returns_everything },
+  };
+
+  return harness_run ("budget", CASES, sizeof CASES / sizeof CASES[0]);
+}
