Leave little room below ceilings when little of a budget is left

Ruled out: restarts too late to take anything back (last_ceilings says fresh=1 with ages of 1.6 to 2.0 s).

Change: 2.2 s of demand while more than half of the limit is left, then 0.5 s; a request that needs more has the next ceiling published first, which takes one transaction.

--- a/src/budget/account.c
+++ b/src/budget/account.c
@@ -144,7 +144,8 @@
 budget_account_next_ceiling (const BudgetAccount *a, const BudgetPolicy *p, int64_t now_ms)
 {
   Tokens used = tokens_max (budget_account_used (a), 0);
-  Tokens margin = demand_over (a, p->margin_ms, 0, now_ms);
+  int64_t ms = has_plenty (a, p) ? p->plenty_margin_ms : p->margin_ms;
+  Tokens margin = demand_over (a, ms, 0, now_ms);
 
   return tokens_min (used + a->waiting + margin, tokens_max (a->granted, used));
 }
--- a/src/budget/account.h
+++ b/src/budget/account.h
@@ -36,9 +36,11 @@
 {
   int64_t horizon_ms; /* demand that a keeper holds tokens for */
   int64_t margin_ms;  /* demand that may be met before the next ceiling is published */
-  int64_t reserve_ms; /* a host's own demand that it holds tokens for while plenty is left */
-  int plenty_pct;     /* of the limit: with more than this left there is plenty */
-  int held_pct;       /* of what is left: a keeper holds at most this */
+  int64_t
+      plenty_margin_ms; /* the same while plenty is left: what a kill would lose does not matter */
+  int64_t reserve_ms;   /* a host's own demand that it holds tokens for while plenty is left */
+  int plenty_pct;       /* of the limit: with more than this left there is plenty */
+  int held_pct;         /* of what is left: a keeper holds at most this */
 } BudgetPolicy;
 
 typedef struct
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -22,11 +22,12 @@
 #define ASSUMED_HOSTS 12
 
 /* A host holds tokens for its own demand while it may be cut off from the store. */
-#define BUDGET_HORIZON_MS 11000
-#define BUDGET_MARGIN_MS  2200
-#define BUDGET_RESERVE_MS 2500
-#define BUDGET_PLENTY_PCT 50
-#define BUDGET_HELD_PCT   70
+#define BUDGET_HORIZON_MS       11000
+#define BUDGET_MARGIN_MS        500
+#define BUDGET_PLENTY_MARGIN_MS 2200
+#define BUDGET_RESERVE_MS       2500
+#define BUDGET_PLENTY_PCT       50
+#define BUDGET_HELD_PCT         70
 
 /* --- Configuration and servers ----------------------------------------------------------- */
 
@@ -128,6 +129,7 @@
                              .peers = h->peers ? peers_tcp_adapter (h->peers) : NULL,
                              .policy = { .horizon_ms = BUDGET_HORIZON_MS,
                                          .margin_ms = BUDGET_MARGIN_MS,
+                                         .plenty_margin_ms = BUDGET_PLENTY_MARGIN_MS,
                                          .reserve_ms = BUDGET_RESERVE_MS,
                                          .plenty_pct = BUDGET_PLENTY_PCT,
                                          .held_pct = BUDGET_HELD_PCT } };
--- a/tests/unit/budget_world.c
+++ b/tests/unit/budget_world.c
@@ -83,7 +83,8 @@
                              .control = { post_to_host, h },
                              .rng = &h->rng,
                              .policy = { .horizon_ms = 10000,
-                                         .margin_ms = 2000,
+                                         .margin_ms = 600,
+                                         .plenty_margin_ms = 2000,
                                          .reserve_ms = 2000,
                                          .plenty_pct = 50,
                                          .held_pct = 70 } };
