Send requests that share prompt parts to one server, whichever host they reach

Ruled out: eviction (an engine's memory holds 20 s of prompts), distance (the bytes of a long prompt between regions cost a tenth of reading its shared part again).

Change: shared parts have a home by rendezvous hash over the service's servers. The cost of a server counts what it would read again, beyond the time that this takes; a busy home loses to another server.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -231,19 +231,21 @@
 }
 
 static double
-policy_cost (Dispatch *d, const Pool *p, const Server *s, const DispatchQuery *q)
+policy_cost (Dispatch *d, const Pool *p, const Server *s, const DispatchQuery *q,
+             const Server *home)
 {
   if (!strcmp (d->options.policy, "random"))
     return rng_unit (&d->rng);
   if (!strcmp (d->options.policy, "least"))
     return s->in_flight + server_others (s, q->now_ms) + rng_unit (&d->rng);
-  return cost_of (s, q, &p->pace, d->prefixes);
+  return cost_of (s, q, &p->pace, d->prefixes, home);
 }
 
 typedef struct
 {
   Server *best;
   double cost;
+  const Server *home;
   int usable;
   int full;
 } Search;
@@ -253,9 +255,12 @@
 choose (Dispatch *d, const Pool *p, const DispatchQuery *q, Search *search)
 {
   int share = connection_share (d, q->service);
+  const Server *home = cost_home (&p->servers, q);
   Server *spare = NULL;
   double spare_cost = 0;
 
+  search->home = home;
+
   for (ListNode *n = list_first (&p->servers); n; n = list_next (&p->servers, n))
     {
       Server *s = LIST_ENTRY (n, Server, node);
@@ -269,7 +274,7 @@
           search->full++;
           continue;
         }
-      cost = policy_cost (d, p, s, q);
+      cost = policy_cost (d, p, s, q, home);
       if (!server_is_usable (s, q->now_ms))
         {
           if (!spare || cost < spare_cost)
@@ -296,7 +301,8 @@
 }
 
 static Flight *
-flight_new (Dispatch *d, const void *ctx, Pool *p, Server *s, const DispatchQuery *q)
+flight_new (Dispatch *d, const void *ctx, Pool *p, Server *s, const DispatchQuery *q,
+            const Server *home)
 {
   Flight *f = talloc_zero (ctx, Flight);
 
@@ -305,8 +311,8 @@
   f->pool = p;
   f->sent_ms = q->now_ms;
   f->is_engine = q->service->is_engine;
-  f->unread = f->is_engine ? cost_unread_tokens (s, q, d->prefixes) : 0;
-  f->expected_ms = cost_first_ms (s, q, &p->pace, d->prefixes);
+  f->unread = f->is_engine ? cost_unread_tokens (s, q, d->prefixes, home) : 0;
+  f->expected_ms = cost_first_ms (s, q, &p->pace, d->prefixes, home);
   s->in_flight++;
   s->awaiting_first++;
   s->prompt_tokens += f->unread;
@@ -340,7 +346,7 @@
     {
       if (!q->repeat)
         retry_pool_request (&p->retries, &d->options.retries, q->now_ms);
-      f = flight_new (d, ctx, p, s, q);
+      f = flight_new (d, ctx, p, s, q, search.home);
     }
   pthread_mutex_unlock (&d->lock);
   return f;
