Leave the balancer's rotation while the link is loaded

From 60 % of the link on, first events come 0.4 s late; at its limit connects to servers time out after 400 ms, their repeats use up the shared limit, and repeats of callers fill the link further. Ruled out: processor time (loop lag of that host at most 73 ms, mean under 3 ms; 0.06 of its 0.12 core used); a slow start (all hosts had a configuration 13 s before the traffic); the choice of server (failed connects at that host only).

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -166,18 +166,27 @@
 }
 
 static void
-close_after_answer (void *data)
+close_after_answers (void *data)
 {
   Worker *w = data;
 
   http_server_close_after_answer (w->server, true);
 }
 
+static void
+keep_after_answers (void *data)
+{
+  Worker *w = data;
+
+  http_server_close_after_answer (w->server, false);
+}
+
 void
-entry_start_closing (Entry *entry)
+entry_close_after_answers (Entry *entry, bool on)
 {
   for (unsigned i = 0; i < entry->n_workers; i++)
-    loop_post (entry->workers[i]->loop, close_after_answer, entry->workers[i]);
+    loop_post (entry->workers[i]->loop, on ? close_after_answers : keep_after_answers,
+               entry->workers[i]);
 }
 
 typedef struct
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -32,8 +32,8 @@
 /** @return requests that have begun and are not answered. */
 size_t entry_open_requests (const Entry *entry);
 
-/** Has each answer end its connection from now on. */
-void entry_start_closing (Entry *entry);
+/** Has each answer end its connection from now on, or no longer. */
+void entry_close_after_answers (Entry *entry, bool on);
 
 /** Takes over the limits of a configuration. */
 void entry_set_timeouts (Entry *entry, int64_t read_timeout_ms, int64_t idle_timeout_ms);
--- a/src/host/host_drain.c
+++ b/src/host/host_drain.c
@@ -29,7 +29,7 @@
   if (age >= CLOSE_AFTER_MS && !h->closing)
     {
       h->closing = true;
-      entry_start_closing (h->entry);
+      entry_close_after_answers (h->entry, true);
     }
   if (age >= deadline - RESERVE_MS / 2)
     {
--- a/src/host/host_parts.h
+++ b/src/host/host_parts.h
@@ -6,6 +6,7 @@
 #include "dispatch/dispatch.h"
 #include "entry/entry.h"
 #include "entry/readiness.h"
+#include "entry/rotation.h"
 #include "fleet/registry.h"
 #include "fleet/source.h"
 #include "host/host.h"
@@ -29,6 +30,7 @@
   Budgets *budgets;
   Entry *entry;
   Readiness *readiness;
+  Rotation rotation;
   Operator *operators;
   int64_t drain_ms; /* since when; 0: not */
   bool closing;     /* answers end their connections */
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -4,6 +4,8 @@
 
 #include <talloc.h>
 
+#include "http/traffic.h"
+
 /* Above this much waiting output a stream is held back: a slow reader must not fill our memory. */
 #define STREAM_HIGH_WATER 8192
 /* libmicrohttpd keeps a block of this size for each streamed answer, and uses it only towards HTTP/1.0
@@ -107,8 +109,14 @@
 set_response (HttpCall *call, int status, struct MHD_Response *response, const HttpHeader *headers,
               size_t n_headers)
 {
+  size_t bytes = PACKET_BYTES;
+
   for (size_t i = 0; i < n_headers; i++)
-    MHD_add_response_header (response, headers[i].name, headers[i].value);
+    {
+      MHD_add_response_header (response, headers[i].name, headers[i].value);
+      bytes += strlen (headers[i].name) + strlen (headers[i].value) + 4;
+    }
+  traffic_sent (bytes);
   if (call->server->close_after_answer || call->fault == HTTP_FAULT_FRAMING)
     MHD_add_response_header (response, "Connection", "close");
   call->response = response;
@@ -128,6 +136,7 @@
 {
   if (is_answered (call))
     return;
+  traffic_sent (len);
   set_response (call, status,
                 MHD_create_response_from_buffer (len, (void *)body, MHD_RESPMEM_MUST_COPY), headers,
                 n_headers);
@@ -232,6 +241,7 @@
     reserve_out (call, len);
   memcpy (call->out + call->out_len, bytes, len);
   call->out_len += len;
+  traffic_sent (len + PACKET_BYTES);
   call_resume (call);
   call->blocked = call->out_len - call->out_at >= STREAM_HIGH_WATER;
   return !call->blocked;
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -4,6 +4,8 @@
 
 #include <talloc.h>
 
+#include "http/traffic.h"
+
 static HttpResult
 failure_of (HttpExchange *x, CURLcode code)
 {
@@ -89,6 +91,7 @@
 {
   HttpExchange *x = data;
 
+  traffic_received (size * n + PACKET_BYTES);
   x->answered = true;
   announce_headers (x);
   if (!x->aborted && x->events->body (x->data, x, bytes, size * n))
@@ -102,6 +105,7 @@
   HttpExchange *x = data;
 
   (void)bytes;
+  traffic_received (size * n);
   x->answered = true;
   return size * n;
 }
@@ -180,6 +184,7 @@
                    const HttpEvents *events, void *data)
 {
   HttpExchange *x = talloc_zero (ctx, HttpExchange);
+  size_t bytes = strlen (request->url) + request->body_len + PACKET_BYTES;
 
   if (!x)
     return NULL;
@@ -199,7 +204,11 @@
       x->body_len = request->body_len;
     }
   for (size_t i = 0; i < request->n_headers; i++)
-    x->headers = curl_slist_append (x->headers, request->headers[i]);
+    {
+      x->headers = curl_slist_append (x->headers, request->headers[i]);
+      bytes += strlen (request->headers[i]) + 2;
+    }
+  traffic_sent (bytes);
   /* A body above 1 KB would otherwise wait for "100 Continue". */
   x->headers = curl_slist_append (x->headers, "Expect:");
   set_options (x, request);
--- a/src/http/server_request.c
+++ b/src/http/server_request.c
@@ -6,6 +6,8 @@
 
 #include <talloc.h>
 
+#include "http/traffic.h"
+
 /* A body that is too long is read and dropped up to this factor of the limit, because a client that
  * is still sending may lose an early answer to a reset. */
 #define DISCARD_FACTOR 4
@@ -79,6 +81,7 @@
       return false;
     }
   http_call_each_header (call, add_size, &header);
+  traffic_received (header + PACKET_BYTES);
   if (header > call->server->max_header)
     call->fault = HTTP_FAULT_HEADERS_TOO_LARGE;
   else if (n > call->server->max_body)
@@ -112,6 +115,7 @@
 static void
 add_body (HttpCall *call, const char *bytes, size_t len)
 {
+  traffic_received (len);
   if (call->fault)
     return;
   if (call->body_len + len > call->server->max_body)
--- /dev/null
+++ b/src/http/traffic.c
@@ -0,0 +1,38 @@
+#include "http/traffic.h"
+
+#include <pthread.h>
+
+#include "core/counter.h"
+
+static Counter *received;
+static Counter *sent;
+static pthread_once_t once = PTHREAD_ONCE_INIT;
+
+static void
+make (void)
+{
+  received
+      = counter_get ("pond_received_bytes_total", "", "Bytes of requests and answers received.");
+  sent = counter_get ("pond_sent_bytes_total", "", "Bytes of requests and answers sent.");
+}
+
+void
+traffic_received (size_t bytes)
+{
+  pthread_once (&once, make);
+  counter_add (received, (int64_t)bytes);
+}
+
+void
+traffic_sent (size_t bytes)
+{
+  pthread_once (&once, make);
+  counter_add (sent, (int64_t)bytes);
+}
+
+Traffic
+traffic_total (void)
+{
+  pthread_once (&once, make);
+  return (Traffic){ counter_value (received), counter_value (sent) };
+}
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -80,6 +80,7 @@
   { .key = "max_header_bytes", .kind = FIELD_INTEGER, .min = 1024, .max = 1 << 20 },
   { .key = "request_read_timeout_ms", .kind = FIELD_INTEGER, .min = 100, .max = 600 * 1000 },
   { .key = "max_streams", .kind = FIELD_INTEGER, .min = 1, .max = 100 * 1000 },
+  { .key = "link_mbit_s", .kind = FIELD_NUMBER, .min = 0, .max = 1000 * 1000 },
 };
 
 static const Schema LIMITS = { FIELDS (LIMITS_FIELDS) };
@@ -150,6 +151,7 @@
   s->max_header_bytes = toml_integer (t, "max_header_bytes", 32 << 10);
   s->request_read_timeout_ms = toml_integer (t, "request_read_timeout_ms", 30 * 1000);
   s->max_streams = toml_integer (t, "max_streams", 4096);
+  s->link_bytes_s = (int64_t)(toml_number (t, "link_mbit_s", 0) * 1e6 / 8);
 }
 
 static void
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -40,6 +40,7 @@
   int64_t max_header_bytes;
   int64_t request_read_timeout_ms;
   int64_t max_streams;
+  int64_t link_bytes_s; /* what the host's link carries in one direction; 0: not known */
   int64_t drain_grace_ms;
   int64_t drain_deadline_ms;
   LogLevel log_level;
