--- a/src/store/store_watch.c
+++ b/src/store/store_watch.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 #include <inttypes.h>
+#include <string.h>
+
 #include <talloc.h>
 
 #include "core/log.h"
@@ -17,10 +19,19 @@
 #define FIRST_RETRY_MS   50
 #define LONGEST_RETRY_MS 400
 
+/* A read after a gap may show the table as it was some seconds before. */
+#define REMEMBER_REMOVED_MS 60000
+
+typedef struct
+{
+  int64_t version;
+  int64_t removed_ms; /* when it was reported as removed; 0: it is there */
+} Known;
+
 struct StoreWatch
 {
   StoreWatchOptions options;
-  GHashTable *versions; /* of the rows that were reported, by "part\nname" */
+  GHashTable *known;    /* Known of each row that was reported, by "part\nname" */
   GHashTable *seen;     /* while the table is read: the rows met so far */
   char *page_from;      /* the next page starts here */
   int64_t read_version; /* of the store at the first page */
@@ -44,50 +55,64 @@
 report_row (StoreWatch *w, const StoreRow *row)
 {
   char *id = row_id (&row->key);
-  int64_t *known = g_hash_table_lookup (w->versions, id);
+  const Known *before = g_hash_table_lookup (w->known, id);
+  bool was_there = before && !before->removed_ms;
+  Known now = { .version = row->version };
 
   if (w->seen)
     g_hash_table_add (w->seen, g_strdup (id));
-  if (known && *known >= row->version)
+  if (before && before->version >= row->version)
     {
       g_free (id);
       return;
     }
   if (row->removed)
-    {
-      bool was_known = g_hash_table_remove (w->versions, id);
+    now.removed_ms = timers_now_ms (w->options.timers);
+  g_hash_table_insert (w->known, id, g_memdup2 (&now, sizeof now));
+  if (!row->removed)
+    w->options.events->changed (w->options.data, row);
+  else if (was_there)
+    w->options.events->removed (w->options.data, &row->key);
+}
 
-      g_free (id);
-      if (was_known)
-        w->options.events->removed (w->options.data, &row->key);
-      return;
-    }
-  g_hash_table_insert (w->versions, id, g_memdup2 (&row->version, sizeof row->version));
-  w->options.events->changed (w->options.data, row);
+static void
+report_removed (StoreWatch *w, const char *id)
+{
+  char *part = g_strdup (id);
+  char *name = strchr (part, '\n');
+
+  *name++ = '\0';
+  w->options.events->removed (w->options.data, &(StoreKey){ w->options.table, part, name });
+  g_free (part);
 }
 
-/* Rows that were there before and did not turn up again were removed in the gap. */
+/* Rows that were there before and did not turn up again were removed in the gap. One that is newer than
+ * what was read is not. */
 static void
 remove_missing (StoreWatch *w)
 {
+  int64_t now = timers_now_ms (w->options.timers);
   GHashTableIter iter;
   gpointer id;
+  gpointer value;
   GPtrArray *gone = g_ptr_array_new_with_free_func (g_free);
 
-  g_hash_table_iter_init (&iter, w->versions);
-  while (g_hash_table_iter_next (&iter, &id, NULL))
-    if (!g_hash_table_contains (w->seen, id))
-      g_ptr_array_add (gone, g_strdup (id));
-  for (guint i = 0; i < gone->len; i++)
+  g_hash_table_iter_init (&iter, w->known);
+  while (g_hash_table_iter_next (&iter, &id, &value))
     {
-      char *part = gone->pdata[i];
-      char *name;
-
-      g_hash_table_remove (w->versions, part);
-      name = strchr (part, '\n');
-      *name++ = '\0';
-      w->options.events->removed (w->options.data, &(StoreKey){ w->options.table, part, name });
+      Known *k = value;
+
+      if (k->removed_ms && now - k->removed_ms > REMEMBER_REMOVED_MS)
+        g_hash_table_iter_remove (&iter);
+      else if (!k->removed_ms && k->version <= w->read_version
+               && !g_hash_table_contains (w->seen, id))
+        {
+          *k = (Known){ w->read_version, now };
+          g_ptr_array_add (gone, g_strdup (id));
+        }
     }
+  for (guint i = 0; i < gone->len; i++)
+    report_removed (w, gone->pdata[i]);
   g_ptr_array_free (gone, TRUE);
 }
 
@@ -243,7 +268,7 @@
 static int
 watch_destroy (StoreWatch *w)
 {
-  g_hash_table_unref (w->versions);
+  g_hash_table_unref (w->known);
   if (w->seen)
     g_hash_table_unref (w->seen);
   return 0;
@@ -255,7 +280,7 @@
   StoreWatch *w = talloc_zero (ctx, StoreWatch);
 
   w->options = *options;
-  w->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  w->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   w->retry_ms = FIRST_RETRY_MS;
   w->steady_since_ms = INT64_MAX;
   talloc_set_destructor (w, watch_destroy);
--- /dev/null
+++ b/tests/fakes/fake_backend.c
@@ -0,0 +1,121 @@
+#include "fakes/fake_backend.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <talloc.h>
+
+static BackendCall *
+start (Backend *backend, const BackendRequest *request, const BackendEvents *events, void *data)
+{
+  FakeBackend *b = (FakeBackend *)backend;
+  FakeBackendCall *c = talloc_zero (b, FakeBackendCall);
+
+  if (b->n_calls == FAKE_BACKEND_CALLS)
+    abort ();
+  c->call.backend = backend;
+  c->open = true;
+  c->address = talloc_strdup (c, request->address);
+  c->headers = talloc_strdup (c, "");
+  for (size_t i = 0; i < request->n_headers; i++)
+    c->headers = talloc_asprintf_append (c->headers, "%s\n", request->headers[i]);
+  c->body = talloc_strndup (c, request->body ? request->body : "", request->body_len);
+  c->reached = FAIL_SENT_SILENT;
+  c->events = events;
+  c->data = data;
+  b->calls[b->n_calls++] = c;
+  return &c->call;
+}
+
+static FailurePoint
+cancel (BackendCall *call)
+{
+  FakeBackendCall *c = (FakeBackendCall *)call;
+
+  c->open = false;
+  c->cancelled = true;
+  return c->reached;
+}
+
+static void
+resume (BackendCall *call)
+{
+  ((FakeBackendCall *)call)->paused = false;
+}
+
+static const char *
+header (BackendCall *call, const char *name)
+{
+  const char *const *h = ((FakeBackendCall *)call)->answer_headers;
+
+  for (; h && *h; h += 2)
+    if (!strcasecmp (h[0], name))
+      return h[1];
+  return NULL;
+}
+
+static void
+each_header (BackendCall *call, BackendHeaderFn fn, void *data)
+{
+  const char *const *h = ((FakeBackendCall *)call)->answer_headers;
+
+  for (; h && *h; h += 2)
+    fn (data, h[0], h[1]);
+}
+
+static const BackendOps OPS = { start, cancel, resume, header, each_header };
+
+FakeBackend *
+fake_backend_new (const void *ctx)
+{
+  FakeBackend *b = talloc_zero (ctx, FakeBackend);
+
+  b->backend.ops = &OPS;
+  return b;
+}
+
+void
+fake_backend_fail (FakeBackendCall *c, FailurePoint point)
+{
+  if (!c->open)
+    return;
+  c->open = false;
+  c->events->failed (c->data, point, false);
+}
+
+void
+fake_backend_head (FakeBackendCall *c, int status, const char *const *headers)
+{
+  c->answer_headers = headers;
+  c->reached = FAIL_PARTLY_ANSWERED;
+  if (!c->events->headers (c->data, &c->call, status))
+    fake_backend_fail (c, FAIL_PARTLY_ANSWERED);
+}
+
+void
+fake_backend_bytes (FakeBackendCall *c, const char *bytes)
+{
+  if (!c->open)
+    return;
+  switch (c->events->body (c->data, bytes, strlen (bytes)))
+    {
+    case BACKEND_PAUSE:
+      c->paused = true;
+      break;
+    case BACKEND_ABORT:
+      fake_backend_fail (c, FAIL_PARTLY_ANSWERED);
+      break;
+    case BACKEND_MORE:
+      break;
+    }
+}
+
+void
+fake_backend_end (FakeBackendCall *c)
+{
+  if (!c->open)
+    return;
+  c->open = false;
+  c->events->end (c->data);
+}
