--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -162,14 +162,15 @@
 static void
 a_row_that_cannot_be_used_whole_is_rejected (void)
 {
+  static const char NO_SERVICE[] = "{\"version\":7,\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/"
+                                   "a/\",\"service\":\"none\"}]}";
   static const char *const BAD[] = { "",
                                      "{",
                                      "[]",
                                      "{\"routes\":[]}",
                                      "{\"version\":\"7\"}",
                                      "{\"version\":7,\"routes\":[{\"host\":\"h\"}]}",
-                                     "{\"version\":7,\"routes\":[{\"host\":\"h\",\"path_prefix\":"
-                                     "\"/a/\",\"service\":\"none\"}]}",
+                                     NO_SERVICE,
                                      "{\"version\":7,\"tenants\":[{\"prepaid\":5}]}" };
 
   for (size_t i = 0; i < sizeof BAD / sizeof BAD[0]; i++)
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -53,11 +53,11 @@
     "{\"service\":\"s\"}",
     "{\"service\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":6}",
     "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":6}",
-    "{\"service\":\"s\",\"address\":\"10.0.0.1:99999\",\"zone\":\"z\",\"state\":\"ready\","
-    "\"slots\":6}",
+    "{\"service\":\"s\",\"address\":\"1.1.1.1:99999\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":"
+    "6}",
     "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"odd\",\"slots\":6}",
-    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\","
-    "\"slots\":\"6\"}",
+    "{\"service\":\"s\",\"address\":\"1.1.1.1:80\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":"
+    "\"6\"}",
     "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"slots\":6}"
   };
 
