Read the ceilings row again when an answer of the store is lost

Change: after 250 ms without an answer the row is read. If it holds what was sent, the ceilings are in force; if not, the next wait is longer, for a store that is slow.

--- a/src/budget/ceilings.c
+++ b/src/budget/ceilings.c
@@ -23,6 +23,11 @@
 /* The store usually answers within a few milliseconds. */
 #define STALLED_MS 150
 
+/* An answer is waited for at least this long before the row is read again; longer after each one that did
+ * not come in time, for a store that is slow. */
+#define PATIENCE_MS         250
+#define LONGEST_PATIENCE_MS 1000
+
 /* For rounding, and for clocks that do not run at quite the same rate. */
 #define CLOCK_MARGIN_MS 100
 
@@ -37,7 +42,9 @@
   int64_t answered_ms;   /* when that came */
   StoreCall *call;
   Timer *timer;
+  char *sent; /* the row as last sent */
   int64_t begun_ms;
+  int64_t patience_ms;
   int64_t bound_until_ms;
   bool on_their_way; /* collected ceilings wait for an answer */
   bool hurry;
@@ -49,6 +56,7 @@
 
 static void read_row (Ceilings *c);
 static void publish (Ceilings *c);
+static void stop_waiting (Ceilings *c);
 
 static void
 on_timer (void *data)
@@ -56,6 +64,11 @@
   Ceilings *c = data;
 
   c->timer = NULL;
+  if (c->call)
+    {
+      stop_waiting (c);
+      return;
+    }
   if (c->checked)
     publish (c);
   else
@@ -108,6 +121,33 @@
   c->answered_ms = timers_now_ms (c->options.timers);
 }
 
+static void
+settle_publication (Ceilings *c, bool done)
+{
+  if (!c->on_their_way)
+    return;
+  c->on_their_way = false;
+  c->options.events->published (c->options.data, done);
+}
+
+/* Finds out whether the transaction without an answer was done. It can still be done if not. */
+static void
+check_publication (Ceilings *c, const StoreReply *reply)
+{
+  const StoreRow *row = reply->n_rows > 0 ? &reply->rows[0] : NULL;
+
+  if (row && row->value && row->len == strlen (c->sent)
+      && memcmp (row->value, c->sent, row->len) == 0)
+    {
+      c->patience_ms = PATIENCE_MS;
+      settle_publication (c, true);
+      return;
+    }
+  c->patience_ms *= 2;
+  if (c->patience_ms > LONGEST_PATIENCE_MS)
+    c->patience_ms = LONGEST_PATIENCE_MS;
+}
+
 static void
 on_row (void *data, const StoreReply *reply)
 {
@@ -124,6 +164,8 @@
   if (!c->ready && reply->n_rows > 0)
     take_last (c, &reply->rows[0], reply->time_ms);
   c->checked = true;
+  if (c->on_their_way)
+    check_publication (c, reply);
   if (!c->ready)
     {
       c->ready = true;
@@ -142,15 +184,6 @@
 
 /* --- Publication ------------------------------------------------------------------------- */
 
-static void
-settle_publication (Ceilings *c, bool done)
-{
-  if (!c->on_their_way)
-    return;
-  c->on_their_way = false;
-  c->options.events->published (c->options.data, done);
-}
-
 static void
 on_published (void *data, const StoreReply *reply)
 {
@@ -162,6 +195,7 @@
   switch (reply->result)
     {
     case STORE_DONE:
+      c->patience_ms = PATIENCE_MS;
       c->row_version = reply->version;
       note_time (c, reply);
       settle_publication (c, true);
@@ -180,6 +214,16 @@
   start_timer (c, RETRY_MS / 2 + (int64_t)rng_below (c->options.rng, RETRY_MS));
 }
 
+/* An answer that was lost would keep requests waiting until the store's client gives up. */
+static void
+stop_waiting (Ceilings *c)
+{
+  TALLOC_FREE (c->call);
+  c->hurry = false;
+  c->checked = false;
+  read_row (c);
+}
+
 static void
 add_ceiling (void *data, const char *account, Tokens ceiling)
 {
@@ -208,6 +252,8 @@
                     "store_time_ms", (json_int_t)c->store_time_ms, "ceilings", list);
   text = json_dumps (json, JSON_COMPACT);
   json_decref (json);
+  talloc_free (c->sent);
+  c->sent = talloc_strdup (c, text);
   {
     StoreKey key = { TABLE, c->options.host, ROW };
     StoreCheck check = { key, c->row_version };
@@ -215,6 +261,7 @@
     StoreTxn txn = { .checks = &check, .n_checks = 1, .writes = &write, .n_writes = 1 };
 
     c->call = store_txn (c->options.store, c, &txn, on_published, c);
+    start_timer (c, c->patience_ms);
   }
   free (text);
 }
@@ -245,6 +292,7 @@
   c->options = *options;
   c->options.host = talloc_strdup (c, options->host);
   c->hosts = 1;
+  c->patience_ms = PATIENCE_MS;
   talloc_set_destructor (c, ceilings_destroy);
   read_row (c);
   return c;
--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -428,6 +428,34 @@
     }
 }
 
+/* Guards against a host that refuses for a second after each answer of the store that is lost: the
+ * ceiling that it waits for can be read again. Plays the users' store that loses three of ten answers,
+ * with an account that is used up to three quarters. */
+static void
+lost_answers_hold_requests_up_briefly (void)
+{
+  BudgetWorld *w = budget_world_new (1, 1);
+  int served = 0;
+
+  budget_world_configure (w, ACCOUNT, 400000, 1);
+  budget_world_run (w, 1000);
+  for (int i = 0; i < 200; i++)
+    {
+      BudgetClaim claim;
+      bool ok;
+
+      w->hosts[0].port->lost = i < 20 ? 0 : 0.3;
+      budget_world_claim (w, 0, ACCOUNT, 1500, &claim);
+      budget_world_run (w, 100);
+      ok = claim.answered && claim.refused == ERR_NONE;
+      served += ok;
+      if (claim.reservation)
+        budget_world_settle (w, &claim, ok ? 1500 : 0);
+    }
+  CU_ASSERT (served >= 180);
+  talloc_free (w);
+}
+
 int
 main (void)
 {
@@ -452,6 +480,7 @@
       a_keeper_holds_enough_for_a_cut_soon_after_the_start },
     { "a_quiet_host_serves_when_the_store_goes_silent",
       a_quiet_host_serves_when_the_store_goes_silent },
+    { "lost_answers_hold_requests_up_briefly", lost_answers_hold_requests_up_briefly },
   };
 
   return harness_run ("budget", CASES, sizeof CASES / sizeof CASES[0]);
