Tell a lost answer of the store from a store that is gone

Ruled out: the read itself (it is answered within milliseconds; the doubled waits, 500 and 1,000 ms, took the time). Change: the wait for an answer follows how long the last one took instead of doubling; requests above the ceiling wait until 350 ms after the first publication without an answer, which one lost answer takes less than, and are refused at once after that.

--- a/src/budget/ceilings.c
+++ b/src/budget/ceilings.c
@@ -20,14 +20,15 @@
 
 #define RETRY_MS 100
 
-/* The store usually answers within a few milliseconds. */
-#define STALLED_MS 150
-
-/* An answer is waited for at least this long before the row is read again; longer after each one that did
- * not come in time, for a store that is slow. */
+/* The store usually answers within a few milliseconds. An answer is waited for this long before the row is
+ * read again, and longer if the last one was slow. */
 #define PATIENCE_MS         250
+#define PATIENCE_ANSWERS    4
 #define LONGEST_PATIENCE_MS 1000
 
+/* One lost answer is made up for in this time. */
+#define STALLED_MS 350
+
 /* For rounding, and for clocks that do not run at quite the same rate. */
 #define CLOCK_MARGIN_MS 100
 
@@ -42,8 +43,9 @@
   int64_t answered_ms;   /* when that came */
   StoreCall *call;
   Timer *timer;
-  char *sent; /* the row as last sent */
-  int64_t begun_ms;
+  char *sent;        /* the row as last sent */
+  int64_t begun_ms;  /* when the first publication without an answer was sent */
+  int64_t called_ms; /* when the last call began */
   int64_t patience_ms;
   int64_t bound_until_ms;
   bool on_their_way; /* collected ceilings wait for an answer */
@@ -112,13 +114,21 @@
              c->last_incarnation, age, json_object_size (c->last), c->last_is_fresh);
 }
 
+/* Notes what an answer tells of the store's clock, and how long it took. */
 static void
 note_time (Ceilings *c, const StoreReply *reply)
 {
+  int64_t now = timers_now_ms (c->options.timers);
+
+  c->patience_ms = PATIENCE_ANSWERS * (now - c->called_ms);
+  if (c->patience_ms < PATIENCE_MS)
+    c->patience_ms = PATIENCE_MS;
+  if (c->patience_ms > LONGEST_PATIENCE_MS)
+    c->patience_ms = LONGEST_PATIENCE_MS;
   if (reply->time_ms <= 0)
     return;
   c->store_time_ms = reply->time_ms;
-  c->answered_ms = timers_now_ms (c->options.timers);
+  c->answered_ms = now;
 }
 
 static void
@@ -138,14 +148,7 @@
 
   if (row && row->value && row->len == strlen (c->sent)
       && memcmp (row->value, c->sent, row->len) == 0)
-    {
-      c->patience_ms = PATIENCE_MS;
-      settle_publication (c, true);
-      return;
-    }
-  c->patience_ms *= 2;
-  if (c->patience_ms > LONGEST_PATIENCE_MS)
-    c->patience_ms = LONGEST_PATIENCE_MS;
+    settle_publication (c, true);
 }
 
 static void
@@ -179,6 +182,7 @@
 {
   StoreRange range = { .table = TABLE, .part = c->options.host, .from = ROW, .limit = 1 };
 
+  c->called_ms = timers_now_ms (c->options.timers);
   c->call = store_range (c->options.store, c, &range, on_row, c);
 }
 
@@ -195,7 +199,6 @@
   switch (reply->result)
     {
     case STORE_DONE:
-      c->patience_ms = PATIENCE_MS;
       c->row_version = reply->version;
       note_time (c, reply);
       settle_publication (c, true);
@@ -244,8 +247,10 @@
       start_timer (c, interval (c));
       return;
     }
+  c->called_ms = timers_now_ms (c->options.timers);
+  if (!c->on_their_way)
+    c->begun_ms = c->called_ms;
   c->on_their_way = true;
-  c->begun_ms = timers_now_ms (c->options.timers);
   /* Whether it is done or not: what it states may be read until then. */
   c->bound_until_ms = c->answered_ms + CEILINGS_LIFETIME_MS;
   json = json_pack ("{s:I,s:I,s:o}", "incarnation", (json_int_t)c->options.incarnation,
@@ -327,5 +332,5 @@
 bool
 ceilings_is_stalled (const Ceilings *c, int64_t now_ms)
 {
-  return !c->ready || !c->checked || (c->on_their_way && now_ms - c->begun_ms > STALLED_MS);
+  return !c->ready || (c->on_their_way && now_ms - c->begun_ms > STALLED_MS);
 }
