Take back a killed host's tokens when it starts again, without waiting for a request

A host that starts again reads an account's row only when it is its keeper or a request of the account reaches it: 2.9 million tokens of one account (of 12.4 million) came back 5.6 s after the start, and 1,000 requests were refused (budget_held) meanwhile. Ruled out: the reading of the last ceilings (done 60 ms after the start); conflicts of the transaction (none). Change: an account that the last incarnation's ceilings name is read and taken back at once.

--- a/src/budget/budgets.c
+++ b/src/budget/budgets.c
@@ -82,7 +82,8 @@
   a->supply = supply_new (b, &options, &a->state);
 }
 
-/* A host that is not the keeper talks to the store only when the keeper does not help. */
+/* A host that is not the keeper talks to the store only when the keeper does not help, or to take back
+ * what its last incarnation held. */
 static bool
 needs_store (Account *a)
 {
@@ -91,7 +92,7 @@
 
   pthread_mutex_lock (&b->lock);
   needed = a->state.keeper || a->state.waiting > 0 || a->state.granted != 0
-           || supply_is_busy (a->supply);
+           || supply_is_busy (a->supply) || supply_may_reclaim (a->supply);
   pthread_mutex_unlock (&b->lock);
   return needed;
 }
--- a/src/budget/ceilings.c
+++ b/src/budget/ceilings.c
@@ -323,6 +323,12 @@
   return json_integer_value (json_object_get (c->last, account));
 }
 
+bool
+ceilings_has_last (const Ceilings *c, const char *account)
+{
+  return c->last_is_fresh && json_object_get (c->last, account);
+}
+
 int64_t
 ceilings_bound_until_ms (const Ceilings *c)
 {
--- a/src/budget/ceilings.h
+++ b/src/budget/ceilings.h
@@ -58,6 +58,9 @@
  * that it was granted counts as used. */
 Tokens ceilings_of_last (const Ceilings *ceilings, uint64_t incarnation, const char *account);
 
+/** @return whether the last incarnation published a ceiling of the account that may be trusted. */
+bool ceilings_has_last (const Ceilings *ceilings, const char *account);
+
 /** @return the time until which the ceilings bind this host: a new incarnation that starts before it may
  * trust them. */
 int64_t ceilings_bound_until_ms (const Ceilings *ceilings);
--- a/src/budget/supply.c
+++ b/src/budget/supply.c
@@ -400,6 +400,14 @@
   return s->connected;
 }
 
+bool
+supply_may_reclaim (const Supply *s)
+{
+  if (s->account->known)
+    return s->reclaim > 0;
+  return ceilings_has_last (s->options.ceilings, s->options.account);
+}
+
 bool
 supply_is_fresh (const Supply *s, int64_t since_ms)
 {
--- a/src/budget/supply.h
+++ b/src/budget/supply.h
@@ -44,6 +44,9 @@
 /** @return false while the store does not answer. */
 bool supply_is_connected (const Supply *supply);
 
+/** @return whether the last incarnation may have left tokens that can be taken back. */
+bool supply_may_reclaim (const Supply *supply);
+
 /** @return true if the row was read or written after @p since_ms. */
 bool supply_is_fresh (const Supply *supply, int64_t since_ms);
 
--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -456,6 +456,34 @@
   talloc_free (w);
 }
 
+/* Guards against tokens that stay with a restarted host until a request of the account reaches it: it is
+ * not the account's keeper any more, and nobody asks it. */
+static void
+restarted_host_takes_back_without_a_request (void)
+{
+  for (int dead = 0; dead < 2; dead++)
+    {
+      BudgetWorld *w = budget_world_new (2, 1);
+
+      budget_world_configure (w, ACCOUNT, 1000000, 1);
+      budget_world_run (w, 1000);
+      for (int i = 0; i < 2; i++)
+        {
+          BudgetClaim claim;
+
+          budget_world_kill (w, (dead + i) % 2);
+          budget_world_claim (w, (dead + i + 1) % 2, ACCOUNT, 1000, &claim);
+          budget_world_run (w, 1000);
+          budget_world_start (w, (dead + i) % 2);
+          budget_world_configure_host (w, (dead + i) % 2, ACCOUNT, 1000000, 1);
+          if (i == 1)
+            budget_world_run (w, 1000);
+        }
+      CU_ASSERT (granted (w) <= 250000);
+      talloc_free (w);
+    }
+}
+
 int
 main (void)
 {
@@ -480,6 +508,7 @@
       a_keeper_holds_enough_for_a_cut_soon_after_the_start },
     { "a_quiet_host_serves_when_the_store_goes_silent",
       a_quiet_host_serves_when_the_store_goes_silent },
+    { "restarted_host_takes_back_without_a_request", restarted_host_takes_back_without_a_request },
     { "lost_answers_hold_requests_up_briefly", lost_answers_hold_requests_up_briefly },
   };
 
