Let a starting host keep no account before it knows the other hosts

Cause: a host that starts knows only itself for some 40 ms, takes itself for the keeper of every account and draws a fifth of each limit. Ruled out: demand of their own (none of the account's requests reached them); the order of registry and budgets at the start (the registry's first answer always comes later). Change: without a list of hosts there is no keeper; a request that comes earlier draws what it needs. Figures: the new test failed before (200,000 and 200,000 drawn instead of 0 and 1,000).

--- a/src/budget/keepers.c
+++ b/src/budget/keepers.c
@@ -67,7 +67,6 @@
   Keepers *k = talloc_zero (ctx, Keepers);
 
   k->self = talloc_strdup (k, self);
-  keepers_set (k, NULL, 0);
   return k;
 }
 
--- a/src/budget/keepers.h
+++ b/src/budget/keepers.h
@@ -15,7 +15,8 @@
   uint64_t incarnation;
 } KeeperHost;
 
-/** @param self name of this host. @return a talloc object under @p ctx that knows this host only. */
+/** @param self name of this host. @return a talloc object under @p ctx without hosts: until the first
+ * keepers_set() nobody is a keeper, or a host that starts would draw for accounts that others keep. */
 Keepers *keepers_new (const void *ctx, const char *self);
 
 /** Replaces the known hosts; this one always counts. A new incarnation is no longer passed over. */
--- a/tests/unit/budget_world.c
+++ b/tests/unit/budget_world.c
@@ -96,7 +96,8 @@
   h->timers = w->timers;
   h->process = talloc_new (w);
   h->budgets = budgets_new (h->process, &options);
-  tell_hosts (w, h);
+  if (!w->no_registry)
+    tell_hosts (w, h);
 }
 
 BudgetWorld *
--- a/tests/unit/budget_world.h
+++ b/tests/unit/budget_world.h
@@ -29,6 +29,7 @@
   BudgetHost hosts[BUDGET_WORLD_HOSTS];
   int n_hosts;
   uint64_t incarnations;
+  bool no_registry; /* hosts that start are not told which hosts there are */
 } BudgetWorld;
 
 /** One request's reservation, and how it was answered. */
--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -1,5 +1,4 @@
 /* Budgets of several hosts on one store: grants, refusals, faults of the store. */
-#include <stdlib.h>
 #include <talloc.h>
 
 #include "budget_world.h"
@@ -484,6 +483,28 @@
     }
 }
 
+/* Guards against a starting host that draws a fifth of every account before it knows the other hosts. */
+static void
+host_without_registry_keeps_nothing (void)
+{
+  BudgetWorld *w = budget_world_new (2, 1);
+  BudgetClaim claim;
+
+  for (int i = 0; i < 2; i++)
+    budget_world_kill (w, i);
+  w->no_registry = true;
+  budget_world_start (w, 0);
+  budget_world_configure_host (w, 0, ACCOUNT, 1000000, 1);
+  budget_world_run (w, 1000);
+  CU_ASSERT_EQUAL (granted (w), 0);
+  budget_world_claim (w, 0, ACCOUNT, 1000, &claim);
+  budget_world_run (w, 300);
+  CU_ASSERT_TRUE (claim.answered);
+  CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
+  CU_ASSERT_EQUAL (granted (w), 1000);
+  talloc_free (w);
+}
+
 int
 main (void)
 {
@@ -509,6 +530,7 @@
     { "a_quiet_host_serves_when_the_store_goes_silent",
       a_quiet_host_serves_when_the_store_goes_silent },
     { "restarted_host_takes_back_without_a_request", restarted_host_takes_back_without_a_request },
+    { "host_without_registry_keeps_nothing", host_without_registry_keeps_nothing },
     { "lost_answers_hold_requests_up_briefly", lost_answers_hold_requests_up_briefly },
   };
 
