Retry a conflicting budget transaction at once with the rows that it told

Cause: on a busy account's row a host that gives tokens back conflicts without end: it pauses after a conflict, and the next transaction checks versions from before the pause. Seen: 27 conflicts in a row, tokens held for 18 s by a host that no longer kept the account. Ruled out: a lost call of the store (the call comes back each time); the rule for what is given back (it asks for the whole balance). Change: after a pause the first conflict is followed at once by a transaction with the rows that it told; only the second one pauses.

--- a/src/budget/supply.c
+++ b/src/budget/supply.c
@@ -284,7 +284,9 @@
     answered (s);
   else
     not_answered (s, reply);
-  if (reply->result == STORE_CONFLICT && s->conflicts > 1)
+  /* The rows of a conflict are old after a pause, and the next transaction surely conflicts; the one after
+   * that goes at once, with the rows that it told. */
+  if (reply->result == STORE_CONFLICT && s->conflicts % 2 == 0)
     back_off (s, CONFLICT_BACKOFF_MS << (s->conflicts < 6 ? s->conflicts - 2 : 4));
   s->options.updated (s->options.data);
   supply_step (s);
--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -505,6 +505,39 @@
   talloc_free (w);
 }
 
+/* Guards against tokens that a host which is no longer the keeper cannot give back, because the account's
+ * row changes all the time. */
+static void
+busy_row_does_not_keep_tokens_from_returning (void)
+{
+  static const StoreKey KEY = { "budgets", ACCOUNT, "account" };
+
+  for (int dead = 0; dead < 2; dead++)
+    {
+      BudgetWorld *w = budget_world_new (2, 1);
+      BudgetClaim claim;
+
+      budget_world_configure (w, ACCOUNT, 1000000, 1);
+      budget_world_run (w, 1000);
+      budget_world_kill (w, dead);
+      budget_world_claim (w, 1 - dead, ACCOUNT, 1000, &claim);
+      budget_world_run (w, 1500);
+      budget_world_start (w, dead);
+      budget_world_configure_host (w, dead, ACCOUNT, 1000000, 1);
+      for (int i = 0; i < 400; i++)
+        {
+          char *value;
+
+          budget_world_run (w, 5);
+          value = talloc_strdup (w, fake_store_value (w->store, &KEY));
+          fake_store_put (w->store, &KEY, value);
+          talloc_free (value);
+        }
+      CU_ASSERT (granted (w) <= 250000);
+      talloc_free (w);
+    }
+}
+
 int
 main (void)
 {
@@ -531,6 +564,8 @@
       a_quiet_host_serves_when_the_store_goes_silent },
     { "restarted_host_takes_back_without_a_request", restarted_host_takes_back_without_a_request },
     { "host_without_registry_keeps_nothing", host_without_registry_keeps_nothing },
+    { "busy_row_does_not_keep_tokens_from_returning",
+      busy_row_does_not_keep_tokens_from_returning },
     { "lost_answers_hold_requests_up_briefly", lost_answers_hold_requests_up_briefly },
   };
 
