Log what a request settled

Cause: how much of an account was lost with killed hosts could not be read from the logs, which told reservations only. Ruled out: a sum of prompt and events (an event is not a token). Change: the last line of a request has settled=, the tokens that its account was charged.

--- a/src/relay/relay_end.c
+++ b/src/relay/relay_end.c
@@ -39,7 +39,10 @@
   if (!r->reservation)
     return;
   if (r->reserved > 0)
-    reservation_settle (r->reservation, spent (r), timers_now_ms (r->deps->timers));
+    {
+      r->settled = spent (r);
+      reservation_settle (r->reservation, r->settled, timers_now_ms (r->deps->timers));
+    }
   else
     talloc_free (r->reservation);
   r->reservation = NULL;
@@ -54,12 +57,12 @@
   histogram_add (relay_counters ()->duration, total * 1000);
   log_event (r->reason == ERR_NONE ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "relay", "end",
              "id=%s route=%s service=%s account=%s status=%d reason=%s server=%s sends=%d runs=%d "
-             "prompt=%" PRId64 " reserved=%" PRId64 " events=%" PRId64 " first_ms=%" PRId64
-             " gap_ms=%" PRId64 " total_ms=%" PRId64 " left_ms=%" PRId64,
+             "prompt=%" PRId64 " reserved=%" PRId64 " settled=%" PRId64 " events=%" PRId64
+             " first_ms=%" PRId64 " gap_ms=%" PRId64 " total_ms=%" PRId64 " left_ms=%" PRId64,
              q->id, q->route ? q->route->name : "-", q->service->name,
              q->account ? q->account : "-", r->status, err_info (r->reason)->name,
              r->server[0] ? r->server : "-", r->sends, r->runs, q->prompt_tokens, r->reserved,
-             r->events, r->first_ms, r->longest_gap_ms, total,
+             r->settled, r->events, r->first_ms, r->longest_gap_ms, total,
              r->deadline_ms - timers_now_ms (r->deps->timers));
 }
 
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -55,6 +55,7 @@
   Timer *deadline;
   Reservation *reservation;
   Tokens reserved;
+  Tokens settled;
   Attempt *attempt;
   char *tried[DISPATCH_MAX_TRIED];
   size_t n_tried;
