Try ceilings that hold for 3.2 s; not kept

Cause: hosts that were dark for 2.3 s (about 2.8 s from the last ceilings to the next start) lose what they held, because ceilings may be trusted for 2.2 s only. Tried: 3.2 s with room for 1.0 s of demand (3.2 s with plenty left); trials with other rooms, and with 4.7 s. Longer ceilings cost in each cut what they save at a kill. Conclusion: reverted. Kept: the test names the lifetime instead of a number of its own.

--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -1,6 +1,7 @@
 /* Budgets of several hosts on one store: grants, refusals, faults of the store. */
 #include <talloc.h>
 
+#include "budget/ceilings.h"
 #include "budget_world.h"
 #include "harness.h"
 
@@ -283,7 +284,7 @@
   budget_world_run (w, 300);
   held = granted (w);
   w->hosts[0].port->silent = true;
-  budget_world_run (w, 3000);
+  budget_world_run (w, CEILINGS_LIFETIME_MS + 800);
   talloc_free (claim.reservation);
   budget_world_claim (w, 0, ACCOUNT, held - 2000, &claim);
   CU_ASSERT_TRUE (claim.answered);
