--- a/src/cli/cli_ticket_apply.c
+++ b/src/cli/cli_ticket_apply.c
@@ -100,6 +100,18 @@
   return a->exit_code;
 }
 
+/* No host would read a ticket there. */
+static bool
+has_tickets (const CliSession *s)
+{
+  if (!s->settings->platform_interface)
+    return true;
+  fputs ("tickets are not available with callers.interface = \"platform\": the configuration comes "
+         "from the platform\n",
+         stderr);
+  return false;
+}
+
 static int
 apply (Apply *a, const char *path, const char *settings, bool dry_run)
 {
@@ -116,7 +128,7 @@
     {
       a->session = cli_session_new (ctx, settings, &exit_code);
       if (a->session)
-        exit_code = submit (a);
+        exit_code = has_tickets (a->session) ? submit (a) : CLI_REJECTED;
     }
   talloc_free (a->session);
   talloc_free (ctx);
--- a/tests/process/test_failures.sh
+++ b/tests/process/test_failures.sh
@@ -47,6 +47,12 @@
 apply_ticket "$WORK/other-1.toml" >"$WORK/other.out" 2>&1
 check "another ticket of the same number is rejected" grep -q "rejected" "$WORK/other.out"
 
+# Guards against a ticket that is accepted where no host reads tickets.
+(host_settings 0; printf '\n[callers]\ninterface = "platform"\n') >"$WORK/platform.toml"
+"$BIN/sapphirepond" ticket apply --settings "$WORK/platform.toml" "$WORK/ticket-1.toml" 2>"$WORK/platform.out"
+check "a ticket is rejected on the platform's interface" equal "$?" 4
+check "the message says why" grep -q "not available" "$WORK/platform.out"
+
 # Guards against a host that serves with one worker thread only.
 check "a model request is answered" equal "$(model 1 'Is court 3 level?' | jq -r '.choices[0].finish_reason')" length
 check "a booking is answered" equal "$(booking_status 2 b-1 '{"court":1}')" 200
