Give a draining host's tokens back when the drain begins

Cause: a draining host kept what it held until its last open request ended, and other hosts did not ask it any more. Ruled out: tokens lost with killed hosts (none was killed before); the account's use (57 % of the limit had been settled). Change: the drain returns balances at every step from its first; a host that leaves is no keeper any more, for itself either, and draws only what a waiting request needs.

--- a/src/budget/keepers.c
+++ b/src/budget/keepers.c
@@ -16,6 +16,7 @@
 struct Keepers
 {
   char *self;
+  bool left; /* this host keeps nothing any more */
   Candidate *list;
   size_t n;
 };
@@ -79,6 +80,12 @@
     c->avoid_until_ms = until_ms;
 }
 
+void
+keepers_leave (Keepers *k)
+{
+  k->left = true;
+}
+
 void
 keepers_each_other (const Keepers *k, void (*fn) (void *data, const char *host), void *data)
 {
@@ -87,6 +94,12 @@
       fn (data, k->list[i].name);
 }
 
+static bool
+is_passed_over (const Keepers *k, const Candidate *c, int64_t now_ms)
+{
+  return now_ms < c->avoid_until_ms || (k->left && !strcmp (c->name, k->self));
+}
+
 /* The candidate with the highest score below that of the rank before. */
 const char *
 keepers_of (const Keepers *k, const char *account, unsigned rank, int64_t now_ms)
@@ -105,7 +118,7 @@
           const Candidate *c = &k->list[i];
           uint64_t score = XXH64 (&c->hash, sizeof c->hash, seed);
 
-          if (score >= below || now_ms < c->avoid_until_ms || (best && score <= best_score))
+          if (score >= below || is_passed_over (k, c, now_ms) || (best && score <= best_score))
             continue;
           best = c;
           best_score = score;
--- a/src/budget/keepers.h
+++ b/src/budget/keepers.h
@@ -25,6 +25,9 @@
 /** A host did not answer: it is passed over until @p until_ms. */
 void keepers_avoid (Keepers *keepers, const char *host, int64_t until_ms);
 
+/** This host is about to stop: from now on it is never a keeper. */
+void keepers_leave (Keepers *keepers);
+
 /** Calls @p fn for each host but this one. */
 void keepers_each_other (const Keepers *keepers, void (*fn) (void *data, const char *host),
                          void *data);
--- a/src/budget/lending.c
+++ b/src/budget/lending.c
@@ -171,6 +171,7 @@
 void
 lending_leave (Lending *l)
 {
+  keepers_leave (l->options.keepers);
   if (l->options.peers)
     keepers_each_other (l->options.keepers, tell_leaving, l);
 }
--- a/src/budget/supply.c
+++ b/src/budget/supply.c
@@ -326,7 +326,7 @@
 {
   BudgetAccount *a = s->account;
 
-  *change = s->closing
+  *change = s->closing && a->waiting == 0
                 ? -a->balance
                 : budget_account_change (a, s->options.policy, timers_now_ms (s->options.timers));
   if (s->n_open == MAX_OPEN)
--- a/src/host/host_drain.c
+++ b/src/host/host_drain.c
@@ -25,6 +25,8 @@
   int64_t age = host_now_ms (h) - h->drain_ms;
   int64_t deadline = h->settings->drain_deadline_ms;
   bool idle = entry_open_requests (h->entry) == 0;
+  /* From the beginning: what stays here until the last stream ends, other hosts lack. */
+  bool holds = budgets_return_all (h->budgets);
 
   if (age >= CLOSE_AFTER_MS && !h->closing)
     {
@@ -43,7 +45,7 @@
       h->returning = true;
       registry_leave (h->registry);
     }
-  if (!budgets_return_all (h->budgets) && idle)
+  if (!holds && idle)
     finish (h, true);
 }
 
--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -539,6 +539,40 @@
     }
 }
 
+/* Guards against tokens that a draining host keeps until its last stream ends, and against requests on its
+ * open connections that it refuses because it has given everything back. */
+static void
+leaving_host_returns_at_once_and_still_serves (void)
+{
+  for (int leaving = 0; leaving < 2; leaving++)
+    {
+      BudgetWorld *w = budget_world_new (2, 1);
+      Budgets *b = w->hosts[leaving].budgets;
+      BudgetClaim stream;
+      BudgetClaim late;
+
+      budget_world_configure (w, ACCOUNT, 1000000, 1);
+      budget_world_run (w, 1000);
+      budget_world_claim (w, leaving, ACCOUNT, 1000, &stream);
+      budget_world_run (w, 300);
+      CU_ASSERT_EQUAL (stream.refused, ERR_NONE);
+      budgets_leave (b);
+      for (int i = 0; i < 20; i++)
+        {
+          budgets_return_all (b);
+          budget_world_run (w, 50);
+        }
+      CU_ASSERT (granted (w) <= 220000);
+      budget_world_claim (w, leaving, ACCOUNT, 500, &late);
+      budget_world_run (w, 300);
+      CU_ASSERT_TRUE (late.answered);
+      CU_ASSERT_EQUAL (late.refused, ERR_NONE);
+      budget_world_settle (w, &late, 500);
+      budget_world_settle (w, &stream, 1000);
+      talloc_free (w);
+    }
+}
+
 int
 main (void)
 {
@@ -567,6 +601,8 @@
     { "host_without_registry_keeps_nothing", host_without_registry_keeps_nothing },
     { "busy_row_does_not_keep_tokens_from_returning",
       busy_row_does_not_keep_tokens_from_returning },
+    { "leaving_host_returns_at_once_and_still_serves",
+      leaving_host_returns_at_once_and_still_serves },
     { "lost_answers_hold_requests_up_briefly", lost_answers_hold_requests_up_briefly },
   };
 
