--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 release: target/sapphirepond
 target/sapphirepond: $(BIN)
 	@mkdir -p target
-	cp $< $@
+	cp --remove-destination $< $@
 
 $(BIN): $(BUILD)/src/cli/main.o $(BUILD)/libpond.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
