Refuse requests in the last three seconds of a drain

Cause: a draining host took every request until its end. Ruled out: the early return of tokens (the refused and the cut requests had their tokens); a host that stays ready (readiness ends at once; open connections and a balancer with few ready hosts still bring requests). Change: from 3 s before its deadline a draining host answers new requests with 503 draining, not run, and a short Retry-After.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -189,6 +189,13 @@
                entry->workers[i]);
 }
 
+void
+entry_refuse_new (Entry *entry)
+{
+  for (unsigned i = 0; i < entry->n_workers; i++)
+    atomic_store (&entry->workers[i]->shared.refusing, true);
+}
+
 typedef struct
 {
   Worker *worker;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -35,5 +35,8 @@
 /** Has each answer end its connection from now on, or no longer. */
 void entry_close_after_answers (Entry *entry, bool on);
 
+/** Refuses new requests from now on; those that have begun go on. Any thread. */
+void entry_refuse_new (Entry *entry);
+
 /** Takes over the limits of a configuration. */
 void entry_set_timeouts (Entry *entry, int64_t read_timeout_ms, int64_t idle_timeout_ms);
--- a/src/entry/entry_call.c
+++ b/src/entry/entry_call.c
@@ -96,6 +96,15 @@
   return true;
 }
 
+static bool
+check_draining (const EntryShared *shared, Err *err)
+{
+  if (!atomic_load (&shared->refusing))
+    return true;
+  err_set (err, ERR_DRAINING, "this host stops in a moment");
+  return false;
+}
+
 static void
 start (EntryCall *e, HttpFault fault)
 {
@@ -108,7 +117,8 @@
 
   request->id = "";
   ok = check_fault (fault, &err)
-       && deps->dialect->ops->decode (deps->dialect, memory, e->call, catalog, request, &err);
+       && deps->dialect->ops->decode (deps->dialect, memory, e->call, catalog, request, &err)
+       && check_draining (e->shared, &err);
   if (ok)
     {
       /* The relay looks at routes and services of this configuration until it ends. */
@@ -116,7 +126,7 @@
       e->relay = relay_new (deps, memory, request, http_call_started_ms (e->call), &CALLER, e);
       return;
     }
-  if (err.kind == ERR_NOT_READY || err.kind == ERR_NO_SERVER)
+  if (err.kind == ERR_NOT_READY || err.kind == ERR_NO_SERVER || err.kind == ERR_DRAINING)
     err.retry_after_ms = 300;
   relay_refuse (deps, request->id, &err, &CALLER, e);
   catalog_unref (catalog);
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -13,7 +13,8 @@
 {
   RelayDeps deps;
   CatalogStore *catalog;
-  atomic_long open; /* requests that are not over */
+  atomic_long open;     /* requests that are not over */
+  atomic_bool refusing; /* new requests, because the process ends in a moment */
 } EntryShared;
 
 /** Events for HttpServerOptions, with an EntryShared as data. */
--- a/src/host/host_drain.c
+++ b/src/host/host_drain.c
@@ -6,6 +6,9 @@
 /* From the start of a drain: the balancer asks once a second and takes a host out after two misses. */
 #define CLOSE_AFTER_MS 1500
 
+/* Before the deadline: what comes later would be cut while a server works on it. */
+#define LAST_REQUESTS_MS 3000
+
 /* Before the deadline, to give tokens back and to end. */
 #define RESERVE_MS 500
 
@@ -33,6 +36,11 @@
       h->closing = true;
       entry_close_after_answers (h->entry, true);
     }
+  if (age >= CLOSE_AFTER_MS && age >= deadline - LAST_REQUESTS_MS && !h->refusing)
+    {
+      h->refusing = true;
+      entry_refuse_new (h->entry);
+    }
   if (age >= deadline - RESERVE_MS / 2)
     {
       finish (h, false);
--- a/src/host/host_parts.h
+++ b/src/host/host_parts.h
@@ -36,6 +36,7 @@
   bool closing;     /* answers end their connections */
   bool returning;   /* tokens are given back */
   bool drained;
+  bool refusing; /* new requests */
 };
 
 static inline int64_t
