--- a/tests/unit/budget_world.c
+++ b/tests/unit/budget_world.c
@@ -1,6 +1,7 @@
 #include "budget_world.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 
 #include <talloc.h>
 
@@ -204,3 +205,12 @@
   budget_world_kill (w, host);
   budget_world_start (w, host);
 }
+
+Tokens
+budget_world_granted (BudgetWorld *w, const char *account)
+{
+  StoreKey key = { "budgets", account, "account" };
+  const char *value = fake_store_value (w->store, &key);
+
+  return value ? strtoll (value + sizeof "{\"granted\":" - 1, NULL, 10) : 0;
+}
--- a/tests/unit/budget_world.h
+++ b/tests/unit/budget_world.h
@@ -64,3 +64,6 @@
 void budget_world_start (BudgetWorld *w, int host);
 
 void budget_world_restart (BudgetWorld *w, int host);
+
+/** @return what the account's row says is granted to all hosts. */
+Tokens budget_world_granted (BudgetWorld *w, const char *account);
--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -1,21 +1,11 @@
 /* Budgets of several hosts on one store: grants, refusals, faults of the store. */
 #include <talloc.h>
 
-#include "budget/ceilings.h"
 #include "budget_world.h"
 #include "harness.h"
 
 #define ACCOUNT "klubbarna"
 
-static Tokens
-granted (BudgetWorld *w)
-{
-  StoreKey key = { "budgets", ACCOUNT, "account" };
-  const char *value = fake_store_value (w->store, &key);
-
-  return value ? strtoll (value + sizeof "{\"granted\":" - 1, NULL, 10) : 0;
-}
-
 /* Guards against a request that cannot start because the first grant is not there yet. */
 static void
 first_claim_waits_for_a_grant (void)
@@ -29,7 +19,8 @@
   budget_world_run (w, 100);
   CU_ASSERT_TRUE (claim.answered);
   CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
-  CU_ASSERT_TRUE (granted (w) >= 40000 && granted (w) <= 100000);
+  CU_ASSERT_TRUE (budget_world_granted (w, ACCOUNT) >= 40000
+                  && budget_world_granted (w, ACCOUNT) <= 100000);
   budget_world_settle (w, &claim, 1000);
   talloc_free (w);
 }
@@ -125,7 +116,7 @@
         talloc_free (claim.reservation);
     }
   CU_ASSERT_TRUE (spent >= limit * 97 / 100);
-  CU_ASSERT_TRUE (granted (w) <= limit);
+  CU_ASSERT_TRUE (budget_world_granted (w, ACCOUNT) <= limit);
   talloc_free (w);
 }
 
@@ -195,7 +186,7 @@
             talloc_free (claim.reservation);
         }
       CU_ASSERT_TRUE (spent <= limit);
-      CU_ASSERT_TRUE (granted (w) <= limit);
+      CU_ASSERT_TRUE (budget_world_granted (w, ACCOUNT) <= limit);
       talloc_free (w);
     }
 }
@@ -216,87 +207,7 @@
   budget_world_claim (w, 1, ACCOUNT, 45000, &claim);
   budget_world_run (w, 1000);
   CU_ASSERT_NOT_EQUAL (claim.refused, ERR_NONE);
-  CU_ASSERT_TRUE (granted (w) <= 50000);
-  talloc_free (w);
-}
-
-/* Guards against tokens that stay with a host that has ended in good order. */
-static void
-drain_returns_everything (void)
-{
-  BudgetWorld *w = budget_world_new (2, 1);
-  BudgetClaim claim;
-
-  budget_world_configure (w, ACCOUNT, 100000, 1);
-  budget_world_claim (w, 0, ACCOUNT, 30000, &claim);
-  budget_world_run (w, 500);
-  CU_ASSERT_TRUE (budgets_return_all (w->hosts[0].budgets));
-  budget_world_settle (w, &claim, 10000);
-  budget_world_run (w, 300);
-  while (budgets_return_all (w->hosts[0].budgets))
-    budget_world_run (w, 50);
-  budgets_return_all (w->hosts[1].budgets);
-  budget_world_run (w, 300);
-  CU_ASSERT_EQUAL (granted (w), 10000);
-  talloc_free (w);
-}
-
-/* Guards against tokens that are lost with every kill: a host that starts again soon after its last
- * ceilings takes back what they do not cover. */
-static void
-quick_restart_takes_back_what_was_not_used (void)
-{
-  BudgetWorld *w = budget_world_new (1, 1);
-  BudgetClaim claim;
-  Tokens held;
-
-  budget_world_configure (w, ACCOUNT, 1000000, 1);
-  budget_world_run (w, 1000);
-  budget_world_claim (w, 0, ACCOUNT, 30000, &claim);
-  budget_world_run (w, 600);
-  CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
-  held = granted (w);
-  CU_ASSERT_TRUE (held >= 200000);
-  budget_world_kill (w, 0);
-  budget_world_run (w, 1200);
-  budget_world_start (w, 0);
-  budget_world_configure (w, ACCOUNT, 1000000, 1);
-  budget_world_run (w, 600);
-  while (budgets_return_all (w->hosts[0].budgets))
-    budget_world_run (w, 50);
-  CU_ASSERT_TRUE (granted (w) >= 30000);
-  CU_ASSERT_TRUE (granted (w) < 60000);
-  talloc_free (w);
-}
-
-/* Guards against tokens that are granted again although a host that was cut off may have used them: it goes
- * beyond its ceilings once it has been cut off for longer than a restart takes. */
-static void
-late_restart_takes_nothing_back (void)
-{
-  BudgetWorld *w = budget_world_new (1, 1);
-  BudgetClaim claim;
-  Tokens held;
-
-  budget_world_configure (w, ACCOUNT, 1000000, 1);
-  budget_world_run (w, 1000);
-  budget_world_claim (w, 0, ACCOUNT, 1000, &claim);
-  budget_world_run (w, 300);
-  held = granted (w);
-  w->hosts[0].port->silent = true;
-  budget_world_run (w, CEILINGS_LIFETIME_MS + 800);
-  talloc_free (claim.reservation);
-  budget_world_claim (w, 0, ACCOUNT, held - 2000, &claim);
-  CU_ASSERT_TRUE (claim.answered);
-  CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
-  budget_world_kill (w, 0);
-  w->hosts[0].port->silent = false;
-  budget_world_start (w, 0);
-  budget_world_configure (w, ACCOUNT, 1000000, 1);
-  budget_world_run (w, 600);
-  while (budgets_return_all (w->hosts[0].budgets))
-    budget_world_run (w, 50);
-  CU_ASSERT_TRUE (granted (w) >= held);
+  CU_ASSERT_TRUE (budget_world_granted (w, ACCOUNT) <= 50000);
   talloc_free (w);
 }
 
@@ -323,55 +234,6 @@
   talloc_free (w);
 }
 
-/* Guards against each host holding tokens of its own while the store cannot be reached: whoever is asked
- * gets them from the account's keeper. */
-static void
-hosts_share_what_the_keeper_holds (void)
-{
-  BudgetWorld *w = budget_world_new (4, 1);
-  BudgetClaim claims[8];
-  int served = 0;
-
-  budget_world_configure (w, ACCOUNT, 1000000, 1);
-  budget_world_run (w, 1000);
-  for (int i = 0; i < 4; i++)
-    w->hosts[i].port->silent = true;
-  budget_world_run (w, 3000);
-  for (int i = 0; i < 8; i++)
-    {
-      budget_world_claim (w, i % 4, ACCOUNT, 20000, &claims[i]);
-      budget_world_run (w, 100);
-      served += claims[i].answered && claims[i].refused == ERR_NONE;
-    }
-  CU_ASSERT_EQUAL (served, 8);
-  talloc_free (w);
-}
-
-/* Guards against a dead keeper that nobody replaces. */
-static void
-dead_keeper_is_passed_over (void)
-{
-  for (int dead = 0; dead < 4; dead++)
-    {
-      BudgetWorld *w = budget_world_new (4, 1);
-      BudgetClaim claim;
-
-      budget_world_configure (w, ACCOUNT, 1000000, 1);
-      budget_world_run (w, 1000);
-      budget_world_kill (w, dead);
-      for (int i = 0; i < 4; i++)
-        {
-          if (i == dead)
-            continue;
-          budget_world_claim (w, i, ACCOUNT, 20000, &claim);
-          budget_world_run (w, 500);
-          CU_ASSERT_TRUE (claim.answered);
-          CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
-        }
-      talloc_free (w);
-    }
-}
-
 /* Guards against a keeper that holds a third of what its hosts need because it has watched them for only a
  * few seconds: the users' hosts are cut off from the store for eight seconds, five seconds after the first
  * request. */
@@ -456,123 +318,6 @@
   talloc_free (w);
 }
 
-/* Guards against tokens that stay with a restarted host until a request of the account reaches it: it is
- * not the account's keeper any more, and nobody asks it. */
-static void
-restarted_host_takes_back_without_a_request (void)
-{
-  for (int dead = 0; dead < 2; dead++)
-    {
-      BudgetWorld *w = budget_world_new (2, 1);
-
-      budget_world_configure (w, ACCOUNT, 1000000, 1);
-      budget_world_run (w, 1000);
-      for (int i = 0; i < 2; i++)
-        {
-          BudgetClaim claim;
-
-          budget_world_kill (w, (dead + i) % 2);
-          budget_world_claim (w, (dead + i + 1) % 2, ACCOUNT, 1000, &claim);
-          budget_world_run (w, 1000);
-          budget_world_start (w, (dead + i) % 2);
-          budget_world_configure_host (w, (dead + i) % 2, ACCOUNT, 1000000, 1);
-          if (i == 1)
-            budget_world_run (w, 1000);
-        }
-      CU_ASSERT (granted (w) <= 250000);
-      talloc_free (w);
-    }
-}
-
-/* Guards against a starting host that draws a fifth of every account before it knows the other hosts. */
-static void
-host_without_registry_keeps_nothing (void)
-{
-  BudgetWorld *w = budget_world_new (2, 1);
-  BudgetClaim claim;
-
-  for (int i = 0; i < 2; i++)
-    budget_world_kill (w, i);
-  w->no_registry = true;
-  budget_world_start (w, 0);
-  budget_world_configure_host (w, 0, ACCOUNT, 1000000, 1);
-  budget_world_run (w, 1000);
-  CU_ASSERT_EQUAL (granted (w), 0);
-  budget_world_claim (w, 0, ACCOUNT, 1000, &claim);
-  budget_world_run (w, 300);
-  CU_ASSERT_TRUE (claim.answered);
-  CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
-  CU_ASSERT_EQUAL (granted (w), 1000);
-  talloc_free (w);
-}
-
-/* Guards against tokens that a host which is no longer the keeper cannot give back, because the account's
- * row changes all the time. */
-static void
-busy_row_does_not_keep_tokens_from_returning (void)
-{
-  static const StoreKey KEY = { "budgets", ACCOUNT, "account" };
-
-  for (int dead = 0; dead < 2; dead++)
-    {
-      BudgetWorld *w = budget_world_new (2, 1);
-      BudgetClaim claim;
-
-      budget_world_configure (w, ACCOUNT, 1000000, 1);
-      budget_world_run (w, 1000);
-      budget_world_kill (w, dead);
-      budget_world_claim (w, 1 - dead, ACCOUNT, 1000, &claim);
-      budget_world_run (w, 1500);
-      budget_world_start (w, dead);
-      budget_world_configure_host (w, dead, ACCOUNT, 1000000, 1);
-      for (int i = 0; i < 400; i++)
-        {
-          char *value;
-
-          budget_world_run (w, 5);
-          value = talloc_strdup (w, fake_store_value (w->store, &KEY));
-          fake_store_put (w->store, &KEY, value);
-          talloc_free (value);
-        }
-      CU_ASSERT (granted (w) <= 250000);
-      talloc_free (w);
-    }
-}
-
-/* Guards against tokens that a draining host keeps until its last stream ends, and against requests on its
- * open connections that it refuses because it has given everything back. */
-static void
-leaving_host_returns_at_once_and_still_serves (void)
-{
-  for (int leaving = 0; leaving < 2; leaving++)
-    {
-      BudgetWorld *w = budget_world_new (2, 1);
-      Budgets *b = w->hosts[leaving].budgets;
-      BudgetClaim stream;
-      BudgetClaim late;
-
-      budget_world_configure (w, ACCOUNT, 1000000, 1);
-      budget_world_run (w, 1000);
-      budget_world_claim (w, leaving, ACCOUNT, 1000, &stream);
-      budget_world_run (w, 300);
-      CU_ASSERT_EQUAL (stream.refused, ERR_NONE);
-      budgets_leave (b);
-      for (int i = 0; i < 20; i++)
-        {
-          budgets_return_all (b);
-          budget_world_run (w, 50);
-        }
-      CU_ASSERT (granted (w) <= 220000);
-      budget_world_claim (w, leaving, ACCOUNT, 500, &late);
-      budget_world_run (w, 300);
-      CU_ASSERT_TRUE (late.answered);
-      CU_ASSERT_EQUAL (late.refused, ERR_NONE);
-      budget_world_settle (w, &late, 500);
-      budget_world_settle (w, &stream, 1000);
-      talloc_free (w);
-    }
-}
-
 int
 main (void)
 {
@@ -586,23 +331,12 @@
     { "lost_answers_never_overspend", lost_answers_never_overspend },
     { "lowered_limit_binds_hosts_that_have_not_heard",
       lowered_limit_binds_hosts_that_have_not_heard },
-    { "drain_returns_everything", drain_returns_everything },
-    { "quick_restart_takes_back_what_was_not_used", quick_restart_takes_back_what_was_not_used },
-    { "late_restart_takes_nothing_back", late_restart_takes_nothing_back },
     { "unanswered_ceilings_bind_as_long_as_they_may_be_read",
       unanswered_ceilings_bind_as_long_as_they_may_be_read },
-    { "hosts_share_what_the_keeper_holds", hosts_share_what_the_keeper_holds },
-    { "dead_keeper_is_passed_over", dead_keeper_is_passed_over },
     { "a_keeper_holds_enough_for_a_cut_soon_after_the_start",
       a_keeper_holds_enough_for_a_cut_soon_after_the_start },
     { "a_quiet_host_serves_when_the_store_goes_silent",
       a_quiet_host_serves_when_the_store_goes_silent },
-    { "restarted_host_takes_back_without_a_request", restarted_host_takes_back_without_a_request },
-    { "host_without_registry_keeps_nothing", host_without_registry_keeps_nothing },
-    { "busy_row_does_not_keep_tokens_from_returning",
-      busy_row_does_not_keep_tokens_from_returning },
-    { "leaving_host_returns_at_once_and_still_serves",
-      leaving_host_returns_at_once_and_still_serves },
     { "lost_answers_hold_requests_up_briefly", lost_answers_hold_requests_up_briefly },
   };
 
--- /dev/null
+++ b/tests/unit/test_budget_hosts.c
@@ -0,0 +1,274 @@
+/* What hosts of one budget do for each other: keepers, kills, restarts and drains. */
+#include <talloc.h>
+
+#include "budget/ceilings.h"
+#include "budget_world.h"
+#include "harness.h"
+
+#define ACCOUNT "klubbarna"
+
+/* Guards against tokens that stay with a host that has ended in good order. */
+static void
+drain_returns_everything (void)
+{
+  BudgetWorld *w = budget_world_new (2, 1);
+  BudgetClaim claim;
+
+  budget_world_configure (w, ACCOUNT, 100000, 1);
+  budget_world_claim (w, 0, ACCOUNT, 30000, &claim);
+  budget_world_run (w, 500);
+  CU_ASSERT_TRUE (budgets_return_all (w->hosts[0].budgets));
+  budget_world_settle (w, &claim, 10000);
+  budget_world_run (w, 300);
+  while (budgets_return_all (w->hosts[0].budgets))
+    budget_world_run (w, 50);
+  budgets_return_all (w->hosts[1].budgets);
+  budget_world_run (w, 300);
+  CU_ASSERT_EQUAL (budget_world_granted (w, ACCOUNT), 10000);
+  talloc_free (w);
+}
+
+/* Guards against tokens that are lost with every kill: a host that starts again soon after its last
+ * ceilings takes back what they do not cover. */
+static void
+quick_restart_takes_back_what_was_not_used (void)
+{
+  BudgetWorld *w = budget_world_new (1, 1);
+  BudgetClaim claim;
+  Tokens held;
+
+  budget_world_configure (w, ACCOUNT, 1000000, 1);
+  budget_world_run (w, 1000);
+  budget_world_claim (w, 0, ACCOUNT, 30000, &claim);
+  budget_world_run (w, 600);
+  CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
+  held = budget_world_granted (w, ACCOUNT);
+  CU_ASSERT_TRUE (held >= 200000);
+  budget_world_kill (w, 0);
+  budget_world_run (w, 1200);
+  budget_world_start (w, 0);
+  budget_world_configure (w, ACCOUNT, 1000000, 1);
+  budget_world_run (w, 600);
+  while (budgets_return_all (w->hosts[0].budgets))
+    budget_world_run (w, 50);
+  CU_ASSERT_TRUE (budget_world_granted (w, ACCOUNT) >= 30000);
+  CU_ASSERT_TRUE (budget_world_granted (w, ACCOUNT) < 60000);
+  talloc_free (w);
+}
+
+/* Guards against tokens that are granted again although a host that was cut off may have used them: it goes
+ * beyond its ceilings once it has been cut off for longer than a restart takes. */
+static void
+late_restart_takes_nothing_back (void)
+{
+  BudgetWorld *w = budget_world_new (1, 1);
+  BudgetClaim claim;
+  Tokens held;
+
+  budget_world_configure (w, ACCOUNT, 1000000, 1);
+  budget_world_run (w, 1000);
+  budget_world_claim (w, 0, ACCOUNT, 1000, &claim);
+  budget_world_run (w, 300);
+  held = budget_world_granted (w, ACCOUNT);
+  w->hosts[0].port->silent = true;
+  budget_world_run (w, CEILINGS_LIFETIME_MS + 800);
+  talloc_free (claim.reservation);
+  budget_world_claim (w, 0, ACCOUNT, held - 2000, &claim);
+  CU_ASSERT_TRUE (claim.answered);
+  CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
+  budget_world_kill (w, 0);
+  w->hosts[0].port->silent = false;
+  budget_world_start (w, 0);
+  budget_world_configure (w, ACCOUNT, 1000000, 1);
+  budget_world_run (w, 600);
+  while (budgets_return_all (w->hosts[0].budgets))
+    budget_world_run (w, 50);
+  CU_ASSERT_TRUE (budget_world_granted (w, ACCOUNT) >= held);
+  talloc_free (w);
+}
+
+/* Guards against each host holding tokens of its own while the store cannot be reached: whoever is asked
+ * gets them from the account's keeper. */
+static void
+hosts_share_what_the_keeper_holds (void)
+{
+  BudgetWorld *w = budget_world_new (4, 1);
+  BudgetClaim claims[8];
+  int served = 0;
+
+  budget_world_configure (w, ACCOUNT, 1000000, 1);
+  budget_world_run (w, 1000);
+  for (int i = 0; i < 4; i++)
+    w->hosts[i].port->silent = true;
+  budget_world_run (w, 3000);
+  for (int i = 0; i < 8; i++)
+    {
+      budget_world_claim (w, i % 4, ACCOUNT, 20000, &claims[i]);
+      budget_world_run (w, 100);
+      served += claims[i].answered && claims[i].refused == ERR_NONE;
+    }
+  CU_ASSERT_EQUAL (served, 8);
+  talloc_free (w);
+}
+
+/* Guards against a dead keeper that nobody replaces. */
+static void
+dead_keeper_is_passed_over (void)
+{
+  for (int dead = 0; dead < 4; dead++)
+    {
+      BudgetWorld *w = budget_world_new (4, 1);
+      BudgetClaim claim;
+
+      budget_world_configure (w, ACCOUNT, 1000000, 1);
+      budget_world_run (w, 1000);
+      budget_world_kill (w, dead);
+      for (int i = 0; i < 4; i++)
+        {
+          if (i == dead)
+            continue;
+          budget_world_claim (w, i, ACCOUNT, 20000, &claim);
+          budget_world_run (w, 500);
+          CU_ASSERT_TRUE (claim.answered);
+          CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
+        }
+      talloc_free (w);
+    }
+}
+
+/* Guards against tokens that stay with a restarted host until a request of the account reaches it: it is
+ * not the account's keeper any more, and nobody asks it. */
+static void
+restarted_host_takes_back_without_a_request (void)
+{
+  for (int dead = 0; dead < 2; dead++)
+    {
+      BudgetWorld *w = budget_world_new (2, 1);
+
+      budget_world_configure (w, ACCOUNT, 1000000, 1);
+      budget_world_run (w, 1000);
+      for (int i = 0; i < 2; i++)
+        {
+          BudgetClaim claim;
+
+          budget_world_kill (w, (dead + i) % 2);
+          budget_world_claim (w, (dead + i + 1) % 2, ACCOUNT, 1000, &claim);
+          budget_world_run (w, 1000);
+          budget_world_start (w, (dead + i) % 2);
+          budget_world_configure_host (w, (dead + i) % 2, ACCOUNT, 1000000, 1);
+          if (i == 1)
+            budget_world_run (w, 1000);
+        }
+      CU_ASSERT (budget_world_granted (w, ACCOUNT) <= 250000);
+      talloc_free (w);
+    }
+}
+
+/* Guards against a starting host that draws a fifth of every account before it knows the other hosts. */
+static void
+host_without_registry_keeps_nothing (void)
+{
+  BudgetWorld *w = budget_world_new (2, 1);
+  BudgetClaim claim;
+
+  for (int i = 0; i < 2; i++)
+    budget_world_kill (w, i);
+  w->no_registry = true;
+  budget_world_start (w, 0);
+  budget_world_configure_host (w, 0, ACCOUNT, 1000000, 1);
+  budget_world_run (w, 1000);
+  CU_ASSERT_EQUAL (budget_world_granted (w, ACCOUNT), 0);
+  budget_world_claim (w, 0, ACCOUNT, 1000, &claim);
+  budget_world_run (w, 300);
+  CU_ASSERT_TRUE (claim.answered);
+  CU_ASSERT_EQUAL (claim.refused, ERR_NONE);
+  CU_ASSERT_EQUAL (budget_world_granted (w, ACCOUNT), 1000);
+  talloc_free (w);
+}
+
+/* Guards against tokens that a host which is no longer the keeper cannot give back, because the account's
+ * row changes all the time. */
+static void
+busy_row_does_not_keep_tokens_from_returning (void)
+{
+  static const StoreKey KEY = { "budgets", ACCOUNT, "account" };
+
+  for (int dead = 0; dead < 2; dead++)
+    {
+      BudgetWorld *w = budget_world_new (2, 1);
+      BudgetClaim claim;
+
+      budget_world_configure (w, ACCOUNT, 1000000, 1);
+      budget_world_run (w, 1000);
+      budget_world_kill (w, dead);
+      budget_world_claim (w, 1 - dead, ACCOUNT, 1000, &claim);
+      budget_world_run (w, 1500);
+      budget_world_start (w, dead);
+      budget_world_configure_host (w, dead, ACCOUNT, 1000000, 1);
+      for (int i = 0; i < 400; i++)
+        {
+          char *value;
+
+          budget_world_run (w, 5);
+          value = talloc_strdup (w, fake_store_value (w->store, &KEY));
+          fake_store_put (w->store, &KEY, value);
+          talloc_free (value);
+        }
+      CU_ASSERT (budget_world_granted (w, ACCOUNT) <= 250000);
+      talloc_free (w);
+    }
+}
+
+/* Guards against tokens that a draining host keeps until its last stream ends, and against requests on its
+ * open connections that it refuses because it has given everything back. */
+static void
+leaving_host_returns_at_once_and_still_serves (void)
+{
+  for (int leaving = 0; leaving < 2; leaving++)
+    {
+      BudgetWorld *w = budget_world_new (2, 1);
+      Budgets *b = w->hosts[leaving].budgets;
+      BudgetClaim stream;
+      BudgetClaim late;
+
+      budget_world_configure (w, ACCOUNT, 1000000, 1);
+      budget_world_run (w, 1000);
+      budget_world_claim (w, leaving, ACCOUNT, 1000, &stream);
+      budget_world_run (w, 300);
+      CU_ASSERT_EQUAL (stream.refused, ERR_NONE);
+      budgets_leave (b);
+      for (int i = 0; i < 20; i++)
+        {
+          budgets_return_all (b);
+          budget_world_run (w, 50);
+        }
+      CU_ASSERT (budget_world_granted (w, ACCOUNT) <= 220000);
+      budget_world_claim (w, leaving, ACCOUNT, 500, &late);
+      budget_world_run (w, 300);
+      CU_ASSERT_TRUE (late.answered);
+      CU_ASSERT_EQUAL (late.refused, ERR_NONE);
+      budget_world_settle (w, &late, 500);
+      budget_world_settle (w, &stream, 1000);
+      talloc_free (w);
+    }
+}
+
+int
+main (void)
+{
+  static const TestCase CASES[] = {
+    { "drain_returns_everything", drain_returns_everything },
+    { "quick_restart_takes_back_what_was_not_used", quick_restart_takes_back_what_was_not_used },
+    { "late_restart_takes_nothing_back", late_restart_takes_nothing_back },
+    { "hosts_share_what_the_keeper_holds", hosts_share_what_the_keeper_holds },
+    { "dead_keeper_is_passed_over", dead_keeper_is_passed_over },
+    { "restarted_host_takes_back_without_a_request", restarted_host_takes_back_without_a_request },
+    { "host_without_registry_keeps_nothing", host_without_registry_keeps_nothing },
+    { "busy_row_does_not_keep_tokens_from_returning",
+      busy_row_does_not_keep_tokens_from_returning },
+    { "leaving_host_returns_at_once_and_still_serves",
+      leaving_host_returns_at_once_and_still_serves },
+  };
+
+  return harness_run ("budget_hosts", CASES, sizeof CASES / sizeof CASES[0]);
+}
