End a stall of the ceilings when nothing is left to publish

Cause: a publication without an answer stays "on its way" until a later one is done. A host that gave back all its grants meanwhile has none to publish, so the store counted as stalled for ever: the next request that needed a ceiling was refused, and a drain did not come to an end once it depends on the stall. Ruled out: lost answers alone; the row is read again after them and settles the publication. Change: a round with nothing to publish ends the one on its way. Its row, if it is still written, states nothing that this host goes beyond. Test: stall_ends_when_nothing_is_left_to_publish failed before.

--- a/src/budget/ceilings.c
+++ b/src/budget/ceilings.c
@@ -244,6 +244,8 @@
   if (json_object_size (list) == 0)
     {
       json_decref (list);
+      /* A publication without an answer may still be done; it states nothing that this host goes beyond. */
+      settle_publication (c, false);
       start_timer (c, interval (c));
       return;
     }
