Keep a draining host's balance while the store is silent

Cause: a drain gives tokens back from its first step. In a cut each of these transactions took the balance out and got no answer, so requests on connections that were still open were refused although their tokens were here. Ruled out: the ceiling; it no longer binds 2.2 s into a cut. Change: nothing is given back while the ceilings are stalled; the drain waits for the store as before. Test: leaving_host_serves_from_its_balance_while_the_store_is_silent failed before (fewer than 20 of 20 served).

--- a/src/budget/supply.c
+++ b/src/budget/supply.c
@@ -320,17 +320,30 @@
   s->call = store_txn (s->options.store, s, &txn, on_txn, s);
 }
 
+/* What to draw, or, below zero, to give back. A host gives nothing back to a store that does not answer: the
+ * tokens would wait in the transaction while requests here need them. */
+static Tokens
+plan_change (const Supply *s, int64_t now_ms)
+{
+  const BudgetAccount *a = s->account;
+  Tokens change = s->closing && a->waiting == 0
+                      ? -a->balance
+                      : budget_account_change (a, s->options.policy, now_ms);
+
+  if (s->n_open == MAX_OPEN)
+    return 0;
+  if (change < 0 && ceilings_is_stalled (s->options.ceilings, now_ms))
+    return 0;
+  return change;
+}
+
 /* @return whether a transaction is due, with what it is to write. */
 static bool
 plan_txn (Supply *s, Tokens *change, BudgetRow *next, BudgetHostRow *host)
 {
   BudgetAccount *a = s->account;
 
-  *change = s->closing && a->waiting == 0
-                ? -a->balance
-                : budget_account_change (a, s->options.policy, timers_now_ms (s->options.timers));
-  if (s->n_open == MAX_OPEN)
-    *change = 0;
+  *change = plan_change (s, timers_now_ms (s->options.timers));
   if (*change == 0 && s->n_open == 0 && s->reclaim == 0
       && !(a->keeper && budget_account_should_write (a)))
     return false;
--- a/tests/unit/test_budget_hosts.c
+++ b/tests/unit/test_budget_hosts.c
@@ -253,6 +253,45 @@
     }
 }
 
+/* Guards against a drain during a store outage that puts the balance into transactions without an answer:
+ * requests on connections that are still open would be refused although their tokens are here. */
+static void
+leaving_host_serves_from_its_balance_while_the_store_is_silent (void)
+{
+  BudgetWorld *w = budget_world_new (1, 1);
+  BudgetHost *h = &w->hosts[0];
+  BudgetClaim claims[20];
+  int served = 0;
+
+  budget_world_configure (w, ACCOUNT, 1000000, 1);
+  budget_world_run (w, 1000);
+  budget_world_claim (w, 0, ACCOUNT, 1000, &claims[0]);
+  budget_world_run (w, 300);
+  budget_world_settle (w, &claims[0], 1000);
+  budget_world_run (w, 600);
+  h->port->silent = true;
+  budget_world_run (w, 1000);
+  budgets_leave (h->budgets);
+  for (int i = 0; i < 20; i++)
+    {
+      CU_ASSERT_TRUE (budgets_return_all (h->budgets));
+      budget_world_claim (w, 0, ACCOUNT, 100, &claims[i]);
+      budget_world_run (w, 100);
+      if (!claims[i].answered || claims[i].refused != ERR_NONE)
+        continue;
+      served++;
+      budget_world_settle (w, &claims[i], 100);
+    }
+  CU_ASSERT_EQUAL (served, 20);
+  h->port->silent = false;
+  budget_world_run (w, 1500);
+  for (int i = 0; i < 100 && budgets_return_all (h->budgets); i++)
+    budget_world_run (w, 50);
+  CU_ASSERT_FALSE (budgets_return_all (h->budgets));
+  CU_ASSERT (budget_world_granted (w, ACCOUNT) <= 3000);
+  talloc_free (w);
+}
+
 int
 main (void)
 {
@@ -268,6 +307,8 @@
       busy_row_does_not_keep_tokens_from_returning },
     { "leaving_host_returns_at_once_and_still_serves",
       leaving_host_returns_at_once_and_still_serves },
+    { "leaving_host_serves_from_its_balance_while_the_store_is_silent",
+      leaving_host_serves_from_its_balance_while_the_store_is_silent },
   };
 
   return harness_run ("budget_hosts", CASES, sizeof CASES / sizeof CASES[0]);
