Hand small leftovers of a budget back to its keeper

Cause: what a request does not use of its reservation stays at the host that served it until 1,500 tokens have gathered. Ruled out: ceilings (they lose demand in proportion, not a fixed amount a host), hosts that stay dark (few). Change: a host that is not the keeper hands back what is above a ten thousandth of the limit, at most 1,500 tokens; the store still gets returns of 1,500 and more only. Test: leftovers_of_many_hosts_can_be_used plays the load and failed before.

--- a/src/budget/account.c
+++ b/src/budget/account.c
@@ -27,8 +27,12 @@
 #define ROOM_REQUESTS 2
 #define ROOM_PART     100
 
-/* Smaller balances stay where they are. */
-#define LEAST_SURPLUS 1500
+/* Smaller balances stay where they are: to return them would cost a transaction each. */
+#define LEAST_RETURN 1500
+
+/* A message costs little, and of a small account the leftovers of many hosts are a notable part: balances above
+ * this part of the limit go to the keeper. */
+#define HAND_BACK_PART 10000
 
 Tokens
 budget_account_limit (const BudgetAccount *a)
@@ -112,18 +116,28 @@
   return tokens_min (wanted, most);
 }
 
+static Tokens
+beyond_target (const BudgetAccount *a, const BudgetPolicy *p, int64_t now_ms)
+{
+  return a->balance - a->waiting - budget_account_target (a, p, now_ms);
+}
+
 Tokens
 budget_account_change (const BudgetAccount *a, const BudgetPolicy *p, int64_t now_ms)
 {
   Tokens free_tokens = budget_account_free (a);
   Tokens target = a->keeper ? budget_account_target (a, p, now_ms) : 0;
   Tokens spare = a->balance - a->waiting;
+  Tokens surplus;
 
   if (spare < 0)
     return free_tokens < -spare ? 0 : tokens_min (target - spare, free_tokens);
   /* What a host drew itself, it gives back itself. */
   if (!a->keeper)
-    return a->granted > 0 ? -tokens_min (budget_account_surplus (a, p, now_ms), a->granted) : 0;
+    {
+      surplus = tokens_min (beyond_target (a, p, now_ms), a->granted);
+      return surplus >= LEAST_RETURN ? -surplus : 0;
+    }
   if (spare < target / 100 * LOW_PCT)
     return tokens_min (target - spare, free_tokens);
   /* What a keeper holds, every host can ask for: nothing is gained by giving it back. */
@@ -133,10 +147,10 @@
 Tokens
 budget_account_surplus (const BudgetAccount *a, const BudgetPolicy *p, int64_t now_ms)
 {
-  Tokens target = budget_account_target (a, p, now_ms);
-  Tokens surplus = a->balance - a->waiting - target;
+  Tokens surplus = beyond_target (a, p, now_ms);
+  Tokens least = tokens_min (LEAST_RETURN, budget_account_limit (a) / HAND_BACK_PART);
 
-  return surplus >= LEAST_SURPLUS ? surplus : 0;
+  return surplus > least ? surplus : 0;
 }
 
 Tokens
--- a/tests/unit/test_budget_hosts.c
+++ b/tests/unit/test_budget_hosts.c
@@ -158,6 +158,33 @@
   talloc_free (w);
 }
 
+/* Plays an account of a size that many hosts serve: what each request does not use of its reservation must not
+ * stay at the host that served it. Guards against a small account that is refused with a tenth of it left. */
+static void
+leftovers_of_many_hosts_can_be_used (void)
+{
+  BudgetWorld *w = budget_world_new (BUDGET_WORLD_HOSTS, 1);
+  const Tokens limit = 150000;
+  BudgetClaim claim = { 0 };
+  Tokens spent = 0;
+
+  budget_world_configure (w, ACCOUNT, limit, 1);
+  budget_world_run (w, 1000);
+  for (int i = 0; claim.refused == ERR_NONE && i < 500; i++)
+    {
+      budget_world_claim (w, i % BUDGET_WORLD_HOSTS, ACCOUNT, 1000, &claim);
+      budget_world_run (w, 300);
+      CU_ASSERT_TRUE (claim.answered);
+      if (claim.refused != ERR_NONE)
+        break;
+      budget_world_settle (w, &claim, 900);
+      spent += 900;
+      budget_world_run (w, 100);
+    }
+  CU_ASSERT (spent >= limit / 100 * 97);
+  talloc_free (w);
+}
+
 /* Guards against each host holding tokens of its own while the store cannot be reached: whoever is asked
  * gets them from the account's keeper. */
 static void
@@ -374,6 +401,7 @@
       late_restart_takes_back_what_cannot_have_been_used },
     { "host_in_a_cut_stays_below_its_growing_ceiling",
       host_in_a_cut_stays_below_its_growing_ceiling },
+    { "leftovers_of_many_hosts_can_be_used", leftovers_of_many_hosts_can_be_used },
     { "hosts_share_what_the_keeper_holds", hosts_share_what_the_keeper_holds },
     { "dead_keeper_is_passed_over", dead_keeper_is_passed_over },
     { "restarted_host_takes_back_without_a_request", restarted_host_takes_back_without_a_request },
