Let ceilings grow from the end of their lifetime on

Cause: a ceiling grew from its publication on, so a restart after 2.8 s counted 2.8 s of demand as used. Ruled out: hosts that never came back (all did), second keepers (they gave back what they drew). Change: growth counts from the end of the lifetime; a host that has seen no demand yet is free then, as before.

--- a/src/budget/account.c
+++ b/src/budget/account.c
@@ -207,7 +207,7 @@
   Tokens most = tokens + demand_over (a, p->cut_ms, 2, now_ms);
 
   if (a->rate_ms == 0)
-    return (Ceiling){ tokens, whole, whole };
+    return (Ceiling){ tokens, CEILING_UNLIMITED, whole };
   return (Ceiling){ tokens, demand_over (a, 1000, 2, now_ms), tokens_min (most, whole) };
 }
 
--- a/src/budget/ceiling.c
+++ b/src/budget/ceiling.c
@@ -7,7 +7,9 @@
 
   if (age_ms < CEILING_LIFETIME_MS)
     return c->tokens;
-  if (__builtin_mul_overflow (c->per_s, age_ms, &grown))
+  if (c->per_s == CEILING_UNLIMITED)
+    return c->most;
+  if (__builtin_mul_overflow (c->per_s, age_ms - CEILING_LIFETIME_MS, &grown))
     return c->most;
   return tokens_min (tokens_add_saturated (c->tokens, grown / 1000), c->most);
 }
--- a/src/budget/ceiling.h
+++ b/src/budget/ceiling.h
@@ -1,6 +1,6 @@
 /** @file
  * One ceiling: what a host has published that it uses at most of its grants for an account. It holds for
- * CEILING_LIFETIME_MS. Without a newer one it then grows with the time since it was published, so that a
+ * CEILING_LIFETIME_MS. Without a newer one it then grows with the time, so that a
  * host that is cut off from the store can go on, and a new incarnation still knows what the old one
  * cannot have used. */
 #pragma once
@@ -18,7 +18,7 @@
 typedef struct
 {
   Tokens tokens; /* while it holds */
-  Tokens per_s;  /* that it grows by, from its publication on, once it no longer holds */
+  Tokens per_s;  /* that it grows by once it no longer holds */
   Tokens most;   /* that it grows to */
 } Ceiling;
 
