Forget hosts that no longer write their row

Cause: a row that had not changed for 25 s was dropped from the list, and the next reading took the same row for that of a new host. Change: such a host is remembered as gone, with its row's version, until its row changes or is removed.

--- a/src/fleet/registry.c
+++ b/src/fleet/registry.c
@@ -27,6 +27,7 @@
   uint64_t incarnation;
   int64_t version;
   int64_t changed_ms;
+  bool gone; /* its row is still there, but nobody writes it */
 } Seen;
 
 struct Registry
@@ -58,11 +59,14 @@
 
   g_hash_table_iter_init (&iter, r->seen);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now - ((Seen *)value)->changed_ms > LIFETIME_MS)
-      {
-        g_hash_table_iter_remove (&iter);
-        r->changed = true;
-      }
+    {
+      Seen *seen = value;
+
+      if (seen->gone || now - seen->changed_ms <= LIFETIME_MS)
+        continue;
+      seen->gone = true;
+      r->changed = true;
+    }
 }
 
 static Seen *
@@ -107,6 +111,8 @@
     }
   if (seen)
     {
+      r->changed |= seen->gone;
+      seen->gone = false;
       seen->version = row->version;
       seen->changed_ms = now;
     }
@@ -151,6 +157,8 @@
     {
       const Seen *seen = value;
 
+      if (seen->gone)
+        continue;
       r->hosts[r->n_hosts++] = (RegistryHost){ seen->name, seen->peers, seen->incarnation };
     }
   r->changed = false;
