Add a fault soak of real processes

Connections between hosts and the time of day are not disturbed yet.

The engine stand-in counts the tokens that it reads and makes.

--- a/Makefile
+++ b/Makefile
@@ -28,11 +28,12 @@
 STANDIN_BIN := $(STANDIN_SRC:%.c=$(BUILD)/%)
 STANDIN_OBJ := $(call objects,$(filter-out $(STANDIN_SRC),$(sort $(wildcard tests/standins/*.c))))
 SOAK_OBJ := $(call objects,$(sort $(wildcard tests/soak/*.c)))
+PROCSOAK_OBJ := $(call objects,$(sort $(wildcard tests/procsoak/*.c)))
 BIN := $(BUILD)/sapphirepond
 FORMAT_SRC := $(filter-out %.pb-c.c %.pb-c.h,$(sort $(wildcard src/*/*.[ch] platform/*.[ch] tests/*/*.[ch])))
 TIDY_SRC := $(filter %.c,$(FORMAT_SRC))
 
-all: $(BIN) $(UNIT_BIN) $(STANDIN_BIN) $(BUILD)/soak
+all: $(BIN) $(UNIT_BIN) $(STANDIN_BIN) $(BUILD)/soak $(BUILD)/procsoak
 tests: all
 
 # What the platform runs; needs none of the tests.
@@ -64,6 +65,9 @@
 $(BUILD)/soak: $(SOAK_OBJ) $(BUILD)/libunit.a $(BUILD)/libfakes.a $(BUILD)/libpond.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/procsoak: $(PROCSOAK_OBJ) $(BUILD)/libpond.a
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/src/proto/%.o: src/proto/%.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -Wno-error -MMD -MP -c -o $@ $<
@@ -115,6 +119,11 @@
 soak-faults: $(BUILD)/soak
 	@$(BUILD)/soak --faults --seed $(SEED) --runs $(RUNS) --jobs $(JOBS)
 
+# Real processes under faults; the last line counts violations.
+MINUTES ?= 1
+soak-processes: all
+	@$(BUILD)/procsoak --bin $(BUILD) --seed $(SEED) --minutes $(MINUTES)
+
 demo:
 	@scripts/demo.sh
 
@@ -122,8 +131,8 @@
 	rm -rf build target
 
 help:
-	@echo "all check check-format check-lint check-names clean demo format proto release soak soak-faults soak-one tests"
+	@echo "all check check-format check-lint check-names clean demo format proto release soak soak-faults soak-one soak-processes tests"
 
-.PHONY: all check check-format check-lint check-names clean demo format help proto release soak soak-faults soak-one tests
+.PHONY: all check check-format check-lint check-names clean demo format help proto release soak soak-faults soak-one soak-processes tests
 .SECONDARY:
 -include $(shell find build -name '*.d' 2>/dev/null)
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -56,6 +56,7 @@
         continue;
       r->skipped = 0;
       r->produced++;
+      engine->standin->tokens++;
       engine->token (r);
     }
   schedule (engine);
--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -188,9 +188,9 @@
                            json_pack ("{s:i,s:i,s:i}", "started", c->started, "finished",
                                       c->finished, "cancelled", c->cancelled));
     }
-  json = json_pack ("{s:I,s:I,s:I,s:I,s:o}", "started", (json_int_t)s->started, "finished",
-                    (json_int_t)s->finished, "cancelled", (json_int_t)s->cancelled, "refused",
-                    (json_int_t)s->refused, "by_id", ids);
+  json = json_pack ("{s:I,s:I,s:I,s:I,s:I,s:o}", "started", (json_int_t)s->started, "tokens",
+                    (json_int_t)s->tokens, "finished", (json_int_t)s->finished, "cancelled",
+                    (json_int_t)s->cancelled, "refused", (json_int_t)s->refused, "by_id", ids);
   text = json_dumps (json, JSON_COMPACT);
   standin_answer (s, call, 200, "", text);
   free (text);
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -45,6 +45,7 @@
   int64_t finished;
   int64_t cancelled;
   int64_t refused;
+  int64_t tokens;    /* read and generated */
   GHashTable *by_id; /* char * to StandinCount */
   void (*request) (Standin *standin, HttpCall *call);
 };
--- a/tests/standins/standin_engine.c
+++ b/tests/standins/standin_engine.c
@@ -170,6 +170,7 @@
   json_decref (body);
   http_call_set_data (call, r);
   standin->started++;
+  standin->tokens += r->prompt_tokens;
   standin_count (standin, r->id)->started++;
   if (r->stream)
     begin_stream (r);
