Play two services and an exhausted account in the soak of processes

A booking that is sent again goes to another service, so one service could not show it; and bookings were refused with the account that the model requests had used up.

--- a/tests/procsoak/callers.c
+++ b/tests/procsoak/callers.c
@@ -10,7 +10,6 @@
 #include "procsoak.h"
 
 #define CALLERS_PORT 100
-#define API_KEY      "demo-key"
 
 /* After the deadline that the caller has told. */
 #define SLACK_MS   1000
@@ -260,7 +259,7 @@
   Request *r = talloc_zero (s, Request);
   char *key = NULL;
   char *deadline = talloc_asprintf (r, "X-Deadline-Ms: %d", SOAK_DEADLINE_MS);
-  const char *headers[4] = { "Authorization: Bearer " API_KEY, deadline };
+  const char *headers[4] = { NULL, deadline };
   HttpRequest request = { .headers = headers,
                           .n_headers = 2,
                           .connect_timeout_ms = 1000,
@@ -269,6 +268,8 @@
 
   r->soak = s;
   r->kind = draw_kind (&s->rng);
+  headers[0] = r->kind <= REQUEST_STREAM ? "Authorization: Bearer " SOAK_MODEL_KEY
+                                         : "Authorization: Bearer " SOAK_SERVICE_KEY;
   r->host = draw_host (s);
   r->generation = s->hosts[r->host].generation;
   r->begun_ms = soak_now_ms (s);
--- a/tests/procsoak/checks.c
+++ b/tests/procsoak/checks.c
@@ -172,10 +172,11 @@
   int answers;
   int64_t tokens;
   json_t *by_id[SOAK_ENGINES];
+  json_t *runs[SOAK_SERVICES];
 } final;
 
 static void
-check_bookings (Soak *s, const json_t *runs)
+check_bookings (Soak *s)
 {
   GHashTableIter iter;
   gpointer key;
@@ -184,9 +185,12 @@
   g_hash_table_iter_init (&iter, s->bookings);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
-      int64_t ran = json_integer_value (json_object_get (runs, key));
+      int64_t ran = 0;
       Booking told = (Booking)GPOINTER_TO_INT (value);
 
+      for (int i = 0; i < SOAK_SERVICES; i++)
+        ran += json_integer_value (json_object_get (final.runs[i], key));
+
       if (ran > 1)
         soak_violation (s, "runs_at_most_once", "", "booking %s ran %" PRId64 " times", (char *)key,
                         ran);
@@ -216,8 +220,9 @@
 {
   int64_t limit = s->options.run_ms / 1000 * SOAK_LIMIT_PER_S;
 
-  if (++final.answers < 2 * SOAK_ENGINES + 1)
+  if (++final.answers < 2 * SOAK_ENGINES + SOAK_SERVICES)
     return;
+  check_bookings (s);
   check_not_run (s);
   if (final.tokens > limit)
     soak_violation (s, "budget_never_overspent", "", "%" PRId64 " of %" PRId64 " tokens",
@@ -247,11 +252,9 @@
 static void
 on_service_end (Soak *s, int i, const json_t *json)
 {
-  (void)i;
+  final.runs[i] = json_incref (json_object_get (json, "runs"));
   if (!json)
-    soak_violation (s, "standin_answers", "", "the booking service");
-  else
-    check_bookings (s, json_object_get (json, "runs"));
+    soak_violation (s, "standin_answers", "", "service-%d", i);
   finish (s);
 }
 
@@ -265,5 +268,6 @@
       ask (s, ENGINE_PORT + i, "/admin/stats", i, on_engine_end);
       ask (s, ENGINE_PORT + i, "/load", i, on_load);
     }
-  ask (s, SERVICE_PORT, "/admin/stats", 0, on_service_end);
+  for (int i = 0; i < SOAK_SERVICES; i++)
+    ask (s, SERVICE_PORT + i, "/admin/stats", i, on_service_end);
 }
--- a/tests/procsoak/faults.c
+++ b/tests/procsoak/faults.c
@@ -16,7 +16,7 @@
     = { "{\"refuse\":4}", "{\"close_before\":4}", "{\"close_mid\":3}", "{\"slow\":5}",
         "{\"wrong_id\":2}" };
 static const char *const SERVICE_FAULTS[]
-    = { "{\"run_then_close\":2}", "{\"refuse\":3}", "{\"close_before\":3}", "{\"wrong_id\":1}" };
+    = { "{\"run_then_close\":5}", "{\"refuse\":3}", "{\"close_before\":3}", "{\"wrong_id\":1}" };
 
 #define NO_STORE_FAULT                                                                             \
   "{\"silent\":false,\"busy\":false,\"many\":false,\"reset\":false,\"lost\":0,\"late\":0,\"slow_"  \
@@ -161,9 +161,9 @@
 static void
 disturb_proxy (Soak *s)
 {
-  uint64_t n = rng_below (&s->rng, (uint64_t)s->options.n_hosts + SOAK_ENGINES + 1);
-  Proxy *p = n <= SOAK_ENGINES ? s->server_proxies[n] : s->store_proxies[n - SOAK_ENGINES - 1];
-  int host = n <= SOAK_ENGINES ? 0 : (int)(n - SOAK_ENGINES - 1);
+  uint64_t n = rng_below (&s->rng, (uint64_t)s->options.n_hosts + SOAK_SERVERS);
+  Proxy *p = n < SOAK_SERVERS ? s->server_proxies[n] : s->store_proxies[n - SOAK_SERVERS];
+  int host = n < SOAK_SERVERS ? 0 : (int)(n - SOAK_SERVERS);
   Fault *f;
 
   if (proxy_mode (p) != PROXY_PASS)
@@ -196,14 +196,15 @@
 static void
 disturb_server (Soak *s)
 {
-  uint64_t n = rng_below (&s->rng, SOAK_ENGINES + 1);
+  uint64_t n = rng_below (&s->rng, SOAK_SERVERS);
 
   if (n < SOAK_ENGINES)
     switch_fault (s, 10 + (int)n,
                   ENGINE_FAULTS[rng_below (&s->rng, sizeof ENGINE_FAULTS / sizeof *ENGINE_FAULTS)]);
   else
     switch_fault (
-        s, 20, SERVICE_FAULTS[rng_below (&s->rng, sizeof SERVICE_FAULTS / sizeof *SERVICE_FAULTS)]);
+        s, 20 + (int)n - SOAK_ENGINES,
+        SERVICE_FAULTS[rng_below (&s->rng, sizeof SERVICE_FAULTS / sizeof *SERVICE_FAULTS)]);
 }
 
 /* --- Series ------------------------------------------------------------------------------ */
@@ -249,10 +250,10 @@
       if (s->hosts[i].frozen)
         processes_signal (s, i, SIGCONT);
     }
-  for (int i = 0; i <= SOAK_ENGINES; i++)
+  for (int i = 0; i < SOAK_SERVERS; i++)
     {
       proxy_set (s->server_proxies[i], PROXY_PASS);
-      switch_fault (s, i < SOAK_ENGINES ? 10 + i : 20,
+      switch_fault (s, i < SOAK_ENGINES ? 10 + i : 20 + i - SOAK_ENGINES,
                     "{\"refuse\":0,\"close_before\":0,\"close_mid\":0,\"silent\":0,\"slow\":0,"
                     "\"wrong_id\":0,\"run_then_close\":0}");
     }
--- a/tests/procsoak/main.c
+++ b/tests/procsoak/main.c
@@ -234,7 +234,7 @@
   violations = s->violations;
   printf ("soak-processes: seed=%" PRIu64 " minutes=%.2f processes=%d faults=%d requests=%d "
           "served=%d violations=%d\n",
-          options.seed, (double)options.run_ms / 60000, options.n_hosts + SOAK_ENGINES + 2,
+          options.seed, (double)options.run_ms / 60000, options.n_hosts + SOAK_SERVERS + 1,
           s->faults, s->requests, s->served, violations);
   if (keep || violations)
     printf ("logs: %s\n", s->work);
--- a/tests/procsoak/processes.c
+++ b/tests/procsoak/processes.c
@@ -24,8 +24,6 @@
 #define PEERS_PORT    150
 #define OPERATOR_PORT 200
 
-#define API_KEY "demo-key"
-
 extern char **environ;
 
 static const char *const DATA_CENTRES[] = { "uppsala-a", "malmo-a", "umea-a" };
@@ -95,16 +93,28 @@
   talloc_free (tmp);
 }
 
+static char *
+account_text (const void *ctx, const char *name, const char *key, int64_t limit)
+{
+  char *hash = g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
+  char *text
+      = talloc_asprintf (ctx,
+                         "[[account]]\nname = \"%s\"\nkeys = [\"sha256:%s\"]\npriority = 5\n"
+                         "[[budget]]\nname = \"%s\"\naccount = \"%s\"\nlimit = %" PRId64 "\n",
+                         name, hash, name, name, limit);
+
+  g_free (hash);
+  return text;
+}
+
 static char *
 first_ticket (const Soak *s, const void *ctx)
 {
-  char *hash = g_compute_checksum_for_string (G_CHECKSUM_SHA256, API_KEY, -1);
+  int64_t limit = s->options.run_ms / 1000 * SOAK_LIMIT_PER_S;
   char *text = talloc_asprintf (
-      ctx,
-      "ticket = 1\n[[account]]\nname = \"klubbarna\"\nkeys = [\"sha256:%s\"]\npriority = 5\n"
-      "[[budget]]\nname = \"klubbarna\"\naccount = \"klubbarna\"\nlimit = %" PRId64 "\n"
-      "[[pool]]\nname = \"modell-tjanst\"\nkind = \"model\"\n",
-      hash, s->options.run_ms / 1000 * SOAK_LIMIT_PER_S);
+      ctx, "ticket = 1\n%s%s[[pool]]\nname = \"modell-tjanst\"\nkind = \"model\"\n",
+      account_text (ctx, "klubbarna", SOAK_MODEL_KEY, limit),
+      account_text (ctx, "bokare", SOAK_SERVICE_KEY, 100000000));
 
   for (int i = 0; i < SOAK_ENGINES; i++)
     text = talloc_asprintf_append (
@@ -112,17 +122,17 @@
         "[[pool.server]]\nname = \"engine-%d\"\naddress = \"127.0.0.1:%d\"\n"
         "data_centre = \"%s\"\nregion = \"%s\"\nmax_in_flight = 64\n",
         i, soak_port (s, SERVER_PROXY + i), DATA_CENTRES[i], REGIONS[i]);
-  g_free (hash);
-  return talloc_asprintf_append (
-      text,
-      "[[pool]]\nname = \"boknings-tjanst\"\nkind = \"service\"\n"
-      "[[pool.server]]\nname = \"service-0\"\naddress = \"127.0.0.1:%d\"\ndata_centre = "
-      "\"uppsala-a\"\n"
-      "region = \"svealand\"\nmax_in_flight = 64\n"
-      "[[pool.call]]\nmethod = \"POST\"\npath_prefix = \"/bookings\"\nidempotent = false\nprice = "
-      "10\n"
-      "[[pool.call]]\nmethod = \"GET\"\npath_prefix = \"/\"\nidempotent = true\nprice = 1\n",
-      soak_port (s, SERVER_PROXY + SOAK_ENGINES));
+  text = talloc_strdup_append (text, "[[pool]]\nname = \"boknings-tjanst\"\nkind = \"service\"\n");
+  for (int i = 0; i < SOAK_SERVICES; i++)
+    text = talloc_asprintf_append (
+        text,
+        "[[pool.server]]\nname = \"service-%d\"\naddress = \"127.0.0.1:%d\"\n"
+        "data_centre = \"%s\"\nregion = \"%s\"\nmax_in_flight = 64\n",
+        i, soak_port (s, SERVER_PROXY + SOAK_ENGINES + i), DATA_CENTRES[i], REGIONS[i]);
+  return talloc_strdup_append (
+      text, "[[pool.call]]\nmethod = \"POST\"\npath_prefix = \"/bookings\"\nidempotent = "
+            "false\nprice = 10\n"
+            "[[pool.call]]\nmethod = \"GET\"\npath_prefix = \"/\"\nidempotent = true\nprice = 1\n");
 }
 
 static char *
@@ -196,10 +206,11 @@
   s->standins[0] = start_standin (s, "standin_store", STORE_PORT);
   for (int i = 0; i < SOAK_ENGINES; i++)
     s->standins[1 + i] = start_standin (s, "standin_engine", ENGINE_PORT + i);
-  s->standins[1 + SOAK_ENGINES] = start_standin (s, "standin_service", SERVICE_PORT);
-  for (int i = 0; i <= SOAK_ENGINES; i++)
+  for (int i = 0; i < SOAK_SERVICES; i++)
+    s->standins[1 + SOAK_ENGINES + i] = start_standin (s, "standin_service", SERVICE_PORT + i);
+  for (int i = 0; i < SOAK_SERVERS; i++)
     {
-      int target = i < SOAK_ENGINES ? ENGINE_PORT + i : SERVICE_PORT;
+      int target = i < SOAK_ENGINES ? ENGINE_PORT + i : SERVICE_PORT + i - SOAK_ENGINES;
 
       s->server_proxies[i]
           = proxy_new (s, s->loop, soak_port (s, SERVER_PROXY + i), soak_port (s, target));
@@ -299,7 +310,7 @@
   for (int i = 0; i < s->options.n_hosts; i++)
     if (s->hosts[i].pid)
       kill (s->hosts[i].pid, SIGKILL);
-  for (int i = 0; i < SOAK_ENGINES + 2; i++)
+  for (int i = 0; i <= SOAK_SERVERS; i++)
     if (s->standins[i])
       kill (s->standins[i], SIGKILL);
   if (s->ticket_pid)
--- a/tests/procsoak/procsoak.h
+++ b/tests/procsoak/procsoak.h
@@ -12,10 +12,16 @@
 #include "proxy.h"
 
 #define SOAK_ENGINES   2
+#define SOAK_SERVICES  2 /* a booking that is sent again goes to the other one */
+#define SOAK_SERVERS   (SOAK_ENGINES + SOAK_SERVICES)
 #define SOAK_MAX_HOSTS 40
 
 /** The account's limit for each second of the run: it is used up in the last part, so that refusals are played. */
-#define SOAK_LIMIT_PER_S 4000
+#define SOAK_LIMIT_PER_S 1500
+
+/* Of callers of engines, whose account runs out, and of callers of services. */
+#define SOAK_MODEL_KEY   "demo-key"
+#define SOAK_SERVICE_KEY "service-key"
 
 /** How long a caller waits for its answer, as it tells the host. */
 #define SOAK_DEADLINE_MS 4000
@@ -53,14 +59,14 @@
   Rng rng;
   char *work; /* directory */
   SoakHost hosts[SOAK_MAX_HOSTS];
-  pid_t standins[SOAK_ENGINES + 2];
+  pid_t standins[SOAK_SERVERS + 1]; /* the store, engines, services */
   Proxy *store_proxies[SOAK_MAX_HOSTS];
-  Proxy *server_proxies[SOAK_ENGINES + 1]; /* engines, then the service */
-  int64_t ticket;                          /* the newest that was accepted */
-  pid_t ticket_pid;                        /* of the command that applies the next one, or 0 */
-  int stop_next;                           /* the engine whose stop that one plans, or -1 */
-  int stopped;                             /* the engine whose planned stop is accepted, or -1 */
-  bool quiet;                              /* no more faults */
+  Proxy *server_proxies[SOAK_SERVERS]; /* engines, then services */
+  int64_t ticket;                      /* the newest that was accepted */
+  pid_t ticket_pid;                    /* of the command that applies the next one, or 0 */
+  int stop_next;                       /* the engine whose stop that one plans, or -1 */
+  int stopped;                         /* the engine whose planned stop is accepted, or -1 */
+  bool quiet;                          /* no more faults */
   bool ending;
   GHashTable *bookings; /* key to Booking */
   GHashTable *not_run;  /* ids of requests that were said not to have run */
