Refuse new requests from 2.5 s into a drain on

Cause: a draining host took requests up to 3 s before its deadline. Change: the balancer gives a host that is not ready no new connections after 2 s, so from 2.5 s on what comes is refused at once as draining, not run, and callers repeat it on another host. How long a request takes is not known. Test: "a request 3 s into a long drain is refused" in tests/process/test_failures.sh failed before.

--- a/src/host/host_drain.c
+++ b/src/host/host_drain.c
@@ -6,7 +6,11 @@
 /* From the start of a drain: the balancer asks once a second and takes a host out after two misses. */
 #define CLOSE_AFTER_MS 1500
 
-/* Before the deadline: what comes later would be cut while a server works on it. */
+/* From the start of a drain: no new connections come any more, and what still comes on open ones might last
+ * beyond the deadline. Callers repeat it on another host. */
+#define REFUSE_AFTER_MS 2500
+
+/* Before the deadline, in a short drain: what comes later would be cut while a server works on it. */
 #define LAST_REQUESTS_MS 3000
 
 /* Before the deadline, to give tokens back and to end. */
@@ -22,6 +26,13 @@
   loop_stop (h->control);
 }
 
+static bool
+takes_no_more (int64_t age_ms, int64_t deadline_ms)
+{
+  return age_ms >= REFUSE_AFTER_MS
+         || (age_ms >= CLOSE_AFTER_MS && age_ms >= deadline_ms - LAST_REQUESTS_MS);
+}
+
 void
 host_step_drain (Host *h)
 {
@@ -36,7 +47,7 @@
       h->closing = true;
       entry_close_after_answers (h->entry, true);
     }
-  if (age >= CLOSE_AFTER_MS && age >= deadline - LAST_REQUESTS_MS && !h->refusing)
+  if (!h->refusing && takes_no_more (age, deadline))
     {
       h->refusing = true;
       entry_refuse_new (h->entry);
--- a/tests/process/test_failures.sh
+++ b/tests/process/test_failures.sh
@@ -102,6 +102,20 @@
 start_host 0
 check "the host is ready again" eventually is_ready 0
 
+# Guards against a request that comes when callers have other hosts, lasts beyond the drain, and is cut.
+(curl -s -m 20 -N -H "Authorization: Bearer $API_KEY" -o /dev/null \
+  -d '{"model":"modell-tjanst","max_tokens":1500,"stream":true,"messages":[{"role":"user","content":"long"}]}' \
+  "http://127.0.0.1:$(port 100)/v1/chat/completions") &
+reader=$!
+sleep 0.2
+kill -TERM "${PID[host-0]}"
+sleep 3.2
+check "a request 3 s into a long drain is refused" equal "$(model 0 'Late?' | error_of)" "draining not_run"
+wait "${PID[host-0]}" $reader
+unset "PID[host-0]"
+start_host 0
+check "the host is ready after the long drain" eventually is_ready 0
+
 # Guards against a request that is taken shortly before the end of a drain, and cut.
 stop host-0 TERM
 host_settings 0 | sed 's/^deadline_ms = .*/deadline_ms = 5000/' >"$WORK/short-0.toml"
