--- a/tests/process/fleet.bash
+++ b/tests/process/fleet.bash
@@ -186,3 +186,20 @@
 budget_field () { budget_json | jq ".$1"; }
 platform_faults () { curl -sf -d "$1" "http://127.0.0.1:$PLATFORM_PORT/admin/faults" >/dev/null; }
 state_of () { curl -sf "http://127.0.0.1:$(port $((300 + $1)))/v1/state"; }
+# faults_of PORT JSON: switches a server stand-in's faults.
+faults_of () { curl -sf -d "$2" "http://127.0.0.1:$(port "$1")/admin/faults" >/dev/null; }
+
+# check WHAT COMMAND...: counts the command's success or failure.
+passed=0
+failed=0
+check ()
+{
+  local what=$1
+  shift
+  if "$@"; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    echo "FAILED: $what"
+  fi
+}
--- a/tests/process/test_failures.sh
+++ b/tests/process/test_failures.sh
@@ -8,19 +8,6 @@
 # shellcheck source=tests/process/fleet.bash
 . tests/process/fleet.bash
 
-passed=0
-failed=0
-check ()
-{
-  local what=$1
-  shift
-  if "$@"; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    echo "FAILED: $what"
-  fi
-}
 equal () { [ "$1" = "$2" ] || { echo "  got $1, expected $2"; return 1; }; }
 at_most () { [ "$1" -le "$2" ] || { echo "  got $1, at most $2"; return 1; }; }
 at_least () { [ "$1" -ge "$2" ] || { echo "  got $1, at least $2"; return 1; }; }
@@ -29,7 +16,6 @@
 version_is () { [ "$(state_of "$1" | jq .version)" = "$2" ]; }
 engine_stat () { curl -s "http://127.0.0.1:$(port $((10 + $1)))/admin/stats" | jq ".$2"; }
 service_started () { curl -s "http://127.0.0.1:$(port 20)/admin/stats" | jq "[.runs[]] | add // 0"; }
-faults_of () { curl -sf -d "$2" "http://127.0.0.1:$(port "$1")/admin/faults" >/dev/null; }
 cancelled () { [ $(($(engine_stat 0 cancelled) + $(engine_stat 1 cancelled))) -ge "$1" ]; }
 
 start_platform
--- a/tests/process/test_log.sh
+++ b/tests/process/test_log.sh
@@ -8,19 +8,6 @@
 # shellcheck source=tests/process/fleet.bash
 . tests/process/fleet.bash
 
-passed=0
-failed=0
-check ()
-{
-  local what=$1
-  shift
-  if "$@"; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    echo "FAILED: $what"
-  fi
-}
 # load SECONDS: 300 bookings and look-ups a second at host 0; the report goes to $WORK/load.json.
 load ()
 {
--- a/tests/process/test_walkthrough.sh
+++ b/tests/process/test_walkthrough.sh
@@ -9,20 +9,6 @@
 # shellcheck source=tests/process/fleet.bash
 . tests/process/fleet.bash
 
-passed=0
-failed=0
-check ()
-{
-  local what=$1
-  shift
-  if "$@"; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    echo "FAILED: $what"
-  fi
-}
-
 # ask HOST PATH BODY [curl options]: sends a request; its id, status and outcome go into variables.
 ask ()
 {
@@ -34,7 +20,6 @@
   status=$(awk 'NR == 1 { print $2 }' "$WORK/head")
 }
 chat () { printf '{"model":"modell-tjanst","max_tokens":%d,"messages":[{"role":"user","content":"%s"}]}' "$1" "$2"; }
-faults_of () { curl -sf -d "$2" "http://127.0.0.1:$(port "$1")/admin/faults" >/dev/null; }
 # The page's first step: all lines of one request, from the logs of all hosts.
 story () { grep -h "id=$id " "$WORK"/host-*.out; }
 logged () { eventually sh -c "grep -qh 'event=end id=$id ' '$WORK'/host-*.out"; }
