--- a/tests/procsoak/main.c
+++ b/tests/procsoak/main.c
@@ -158,17 +158,32 @@
   timers_start (s->timers, s, s->options.run_ms, on_faults_end, s);
 }
 
+static char *
+work_directory (const void *ctx)
+{
+  GError *error = NULL;
+  char *path = g_dir_make_tmp ("procsoak-XXXXXX", &error);
+  char *copy;
+
+  if (!path)
+    {
+      fprintf (stderr, "%s\n", error->message);
+      exit (2);
+    }
+  copy = talloc_strdup (ctx, path);
+  g_free (path);
+  return copy;
+}
+
 static Soak *
 soak_new (const SoakOptions *options)
 {
   Soak *s = talloc_zero (NULL, Soak);
-  char pattern[] = "/tmp/procsoak-XXXXXX";
-
   s->options = *options;
   s->loop = loop_new (s);
   s->timers = loop_timers (s->loop);
   s->client = http_client_new (s, s->loop);
-  s->work = talloc_strdup (s, mkdtemp (pattern));
+  s->work = work_directory (s);
   s->stop_next = s->stopped = -1;
   s->bookings = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   s->not_run = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/tests/unit/budget_world.c
+++ b/tests/unit/budget_world.c
@@ -5,6 +5,10 @@
 
 #include <talloc.h>
 
+#include "core/invariant.h"
+
+#define RETURN_ROUNDS 100
+
 typedef struct
 {
   LoopFn fn;
@@ -207,6 +211,20 @@
   budget_world_start (w, host);
 }
 
+void
+budget_world_return_all (BudgetWorld *w, int host)
+{
+  bool busy = true;
+
+  for (int i = 0; busy && i < RETURN_ROUNDS; i++)
+    {
+      busy = budgets_return_all (w->hosts[host].budgets);
+      if (busy)
+        budget_world_run (w, 50);
+    }
+  INVARIANT ("returns_come_to_an_end", !busy, "host %d still holds tokens", host);
+}
+
 Tokens
 budget_world_granted (BudgetWorld *w, const char *account)
 {
--- a/tests/unit/budget_world.h
+++ b/tests/unit/budget_world.h
@@ -65,5 +65,8 @@
 
 void budget_world_restart (BudgetWorld *w, int host);
 
+/** Has a host give everything back; the running case fails if that does not end. */
+void budget_world_return_all (BudgetWorld *w, int host);
+
 /** @return what the account's row says is granted to all hosts. */
 Tokens budget_world_granted (BudgetWorld *w, const char *account);
