Charge an account for what its callers got

Cause: a request cost its prompt as soon as it may have run.

Ruled out: tokens lost between hosts (accounts stood at 98 to 100 % by our logs, nothing was free).

Change: relay/charge.c decides over the ends of a request, for both interfaces; nothing of an answer passed on, nothing charged. Setting budget.charge_failed keeps the old way.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -66,6 +66,7 @@
                                 .budgets = o->budgets,
                                 .dialect = o->dialect,
                                 .max_answer = o->max_answer,
+                                .charges_failed = o->charges_failed,
                                 .answers = &w->answers };
   w->server = http_server_new (w, w->loop, &server);
   talloc_set_destructor (w, worker_destroy);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -19,6 +19,7 @@
   int64_t idle_timeout_ms;
   int64_t connect_timeout_ms;
   size_t max_answer;
+  bool charges_failed; /* RelayDeps */
   Loop *control;
   CatalogStore *catalog;
   Dispatch *dispatch;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -173,6 +173,7 @@
                            .idle_timeout_ms = s->request_read_timeout_ms,
                            .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                            .max_answer = MAX_ANSWER_BYTES,
+                           .charges_failed = s->charge_failed,
                            .control = h->control,
                            .catalog = h->catalog,
                            .dispatch = h->dispatch,
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -42,6 +42,7 @@
   Dialect *dialect;
   size_t max_answer;   /* bytes of an answer that is not streamed */
   AnswerPool *answers; /* of the worker */
+  bool charges_failed; /* whatever may have run is charged, not only what the caller got */
 } RelayDeps;
 
 /** Starts a relay, which frees itself after released. @p request and what it points to must live in
--- a/src/relay/relay_end.c
+++ b/src/relay/relay_end.c
@@ -15,22 +15,22 @@
 
 /* --- Settling ---------------------------------------------------------------------------- */
 
-/* What may have been used: the prompt, once for the request, and what was passed on. An engine's own
- * count goes before. */
-static Tokens
-spent (const Relay *r)
+static Charge
+charge (const Relay *r)
 {
   const RelayRequest *q = r->request;
-  Tokens tokens;
-
-  if (r->runs == 0)
-    return 0;
-  tokens = tokens_add_saturated (q->prompt_tokens, tokens_min (r->delivered, q->max_tokens));
-  if (r->used > r->reserved)
-    counter_add (relay_counters ()->usage_rejected, 1);
-  else if (r->used >= 0)
-    tokens = r->used;
-  return tokens_min (tokens, r->reserved);
+  ChargeFacts facts = { .runs = r->runs,
+                        .status = r->status,
+                        .complete = r->reason == ERR_NONE,
+                        .caller_left = r->reason == ERR_CLIENT_GONE,
+                        .events = r->events,
+                        .prompt = q->prompt_tokens,
+                        .delivered = tokens_min (r->delivered, q->max_tokens),
+                        .used = r->used,
+                        .reserved = r->reserved,
+                        .charges_failed = r->deps->charges_failed };
+
+  return charge_of (&facts);
 }
 
 static void
@@ -40,8 +40,10 @@
     return;
   if (r->reserved > 0)
     {
-      r->settled = spent (r);
-      reservation_settle (r->reservation, r->settled, timers_now_ms (r->deps->timers));
+      r->charge = charge (r);
+      if (r->charge.usage_rejected)
+        counter_add (relay_counters ()->usage_rejected, 1);
+      reservation_settle (r->reservation, r->charge.tokens, timers_now_ms (r->deps->timers));
     }
   else
     talloc_free (r->reservation);
@@ -57,12 +59,13 @@
   histogram_add (relay_counters ()->duration, total * 1000);
   log_event (r->reason == ERR_NONE ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "relay", "end",
              "id=%s route=%s service=%s account=%s status=%d reason=%s server=%s sends=%d runs=%d "
-             "prompt=%" PRId64 " reserved=%" PRId64 " settled=%" PRId64 " events=%" PRId64
+             "prompt=%" PRId64 " reserved=%" PRId64 " settled=%" PRId64 " charge=%s events=%" PRId64
              " first_ms=%" PRId64 " gap_ms=%" PRId64 " total_ms=%" PRId64 " left_ms=%" PRId64,
              q->id, q->route ? q->route->name : "-", q->service->name,
              q->account ? q->account : "-", r->status, err_info (r->reason)->name,
              r->server[0] ? r->server : "-", r->sends, r->runs, q->prompt_tokens, r->reserved,
-             r->settled, r->events, r->first_ms, r->longest_gap_ms, total,
+             r->charge.tokens, r->reserved > 0 ? charge_end_name (r->charge.end) : "-", r->events,
+             r->first_ms, r->longest_gap_ms, total,
              r->deadline_ms - timers_now_ms (r->deps->timers));
 }
 
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -2,6 +2,7 @@
  * events), relay_stream.c (events of a stream), relay_end.c (answers, settling, log). */
 #pragma once
 
+#include "relay/charge.h"
 #include "relay/relay.h"
 #include "relay/retry_rule.h"
 #include "relay/sse.h"
@@ -55,7 +56,7 @@
   Timer *deadline;
   Reservation *reservation;
   Tokens reserved;
-  Tokens settled;
+  Charge charge; /* once it is settled */
   Attempt *attempt;
   char *tried[DISPATCH_MAX_TRIED];
   size_t n_tried;
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -65,6 +65,11 @@
 };
 static const Schema RETRIES = { FIELDS (RETRIES_FIELDS) };
 
+static const Field BUDGET_FIELDS[] = {
+  { .key = "charge_failed", .kind = FIELD_BOOLEAN },
+};
+static const Schema BUDGET = { FIELDS (BUDGET_FIELDS) };
+
 static const Field DATA_CENTRE_FIELDS[] = {
   { .key = "name", .kind = FIELD_NAME, .required = true },
   { .key = "region", .kind = FIELD_NAME, .required = true },
@@ -106,6 +111,7 @@
   { .key = "callers", .kind = FIELD_TABLE, .schema = &CALLERS },
   { .key = "placing", .kind = FIELD_TABLE, .schema = &PLACING },
   { .key = "retries", .kind = FIELD_TABLE, .schema = &RETRIES },
+  { .key = "budget", .kind = FIELD_TABLE, .schema = &BUDGET },
   { .key = "workers", .kind = FIELD_TABLE, .schema = &WORKERS },
   { .key = "limits", .kind = FIELD_TABLE, .schema = &LIMITS },
   { .key = "drain", .kind = FIELD_TABLE, .schema = &DRAIN },
@@ -191,6 +197,7 @@
       = !strcmp (toml_string (toml_get (root, "callers"), "interface", "native"), "platform");
   s->placing = talloc_strdup (s, toml_string (toml_get (root, "placing"), "policy", "cost"));
   read_retries (s, toml_get (root, "retries"));
+  s->charge_failed = toml_boolean (toml_get (root, "budget"), "charge_failed", false);
   read_data_centres (s, toml_get (root, "data_centre"));
   s->log_level = level_from_name (toml_string (toml_get (root, "log"), "level", "info"));
   return s;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -36,6 +36,7 @@
   double retry_share; /* of a service's requests that all hosts may send again in a window */
   int64_t retry_window_ms;
   double retry_allowance; /* and this many more */
+  bool charge_failed;     /* whatever may have run is charged, not only what the caller got */
   int threads;
   int64_t max_body_bytes;
   int64_t max_header_bytes;
