Follow what servers say of themselves: that they leave, that they want nothing

A server that said Server-Leaving: 1 went on getting requests until its entry had changed; one that answered 503 with Retry-After got the next ones at once.

Leaving counts on any answer, interim ones (1xx) and answers to other requests too, on a 421 for the server that has the address now. What a server said is kept by its start (id, address, time of start) apart from the list of servers (dispatch/leavers.c), so that an entry that lapses and comes back, or an old one, does not end it. The other hosts of the data centre are told (message ServerLeaves). A pause is kept per server by the steady clock; with no other server callers get 503 at once with the time. Server-Leaving is not passed on to callers.

--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -55,6 +55,7 @@
   FailurePoint (*cancel) (BackendCall *call);
   void (*resume) (BackendCall *call);
   const char *(*header) (BackendCall *call, const char *name);
+  const char *(*early_header) (BackendCall *call, const char *name);
   void (*each_header) (BackendCall *call, BackendHeaderFn fn, void *data);
 } BackendOps;
 
@@ -97,6 +98,13 @@
   return call->backend->ops->header (call, name);
 }
 
+/** As backend_header() for the interim answers (1xx) that came before. */
+static inline const char *
+backend_early_header (BackendCall *call, const char *name)
+{
+  return call->backend->ops->early_header (call, name);
+}
+
 /** Calls @p fn for each answer header, in order. */
 static inline void
 backend_each_header (BackendCall *call, BackendHeaderFn fn, void *data)
--- a/src/backend/backend_http.c
+++ b/src/backend/backend_http.c
@@ -135,13 +135,19 @@
   return http_exchange_header (((BackendHttpCall *)call)->exchange, name);
 }
 
+static const char *
+early_header (BackendCall *call, const char *name)
+{
+  return http_exchange_early_header (((BackendHttpCall *)call)->exchange, name);
+}
+
 static void
 each_header (BackendCall *call, BackendHeaderFn fn, void *data)
 {
   http_exchange_each_header (((BackendHttpCall *)call)->exchange, fn, data);
 }
 
-static const BackendOps OPS = { start, cancel, resume, header, each_header };
+static const BackendOps OPS = { start, cancel, resume, header, early_header, each_header };
 
 Backend *
 backend_http_new (const void *ctx, HttpClient *client, int64_t connect_timeout_ms)
--- a/src/dispatch/cost.c
+++ b/src/dispatch/cost.c
@@ -43,7 +43,7 @@
       const Server *s = LIST_ENTRY (node, Server, node);
       uint64_t score = XXH64 (&s->hash, sizeof s->hash, q->parts[n - 1].id);
 
-      if (s->leaving || q->now_ms < s->avoid_until_ms || (home && score <= best))
+      if (!server_is_usable (s, q->now_ms) || (home && score <= best))
         continue;
       home = s;
       best = score;
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -60,6 +60,8 @@
   const Server *home;
   int usable;
   int full;
+  int paused;              /* want nothing from this host for now */
+  int64_t paused_until_ms; /* the first of them */
 } Search;
 
 static void
@@ -90,6 +92,13 @@
     search->best = b;
 }
 
+static void
+pass_over (Search *search, const Server *s)
+{
+  if (search->paused++ == 0 || s->pause_until_ms < search->paused_until_ms)
+    search->paused_until_ms = s->pause_until_ms;
+}
+
 /* Servers that were tried or are avoided are taken only when there is no other. */
 static Server *
 choose (Dispatch *d, const Pool *p, const DispatchQuery *q, Search *search)
@@ -109,6 +118,11 @@
       if (s->leaving || was_tried (s, q))
         continue;
       search->usable++;
+      if (q->now_ms < s->pause_until_ms)
+        {
+          pass_over (search, s);
+          continue;
+        }
       if (s->in_flight >= share)
         {
           search->full++;
@@ -163,6 +177,16 @@
   return f;
 }
 
+static void
+refuse (const DispatchQuery *q, const Search *search, Err *err)
+{
+  err_set (err, search->usable ? ERR_OVERLOADED : ERR_NO_SERVER,
+           "service %s: %d servers, %d of them full, %d want nothing for now", q->service->name,
+           search->usable, search->full, search->paused);
+  if (search->paused > 0)
+    err->retry_after_ms = search->paused_until_ms - q->now_ms;
+}
+
 Flight *
 dispatch_pick (Dispatch *d, const void *ctx, const DispatchQuery *q, Err *err)
 {
@@ -175,9 +199,7 @@
   p = pool_get (d, q->service->name);
   s = choose (d, p, q, &search);
   if (!s)
-    err_set (err, search.usable ? ERR_OVERLOADED : ERR_NO_SERVER,
-             "service %s: %d servers, %d of them full", q->service->name, search.usable,
-             search.full);
+    refuse (q, &search, err);
   else if (q->repeat && !retry_pool_take (&p->retries, &d->options.retries, d->hosts, q->now_ms))
     err_set (err, ERR_RETRIES_EXHAUSTED, "service %s: the retry limits have no room",
              q->service->name);
@@ -214,6 +236,7 @@
   d->options.policy = talloc_strdup (d, options->policy ? options->policy : "cost");
   d->pools = g_hash_table_new (g_str_hash, g_str_equal);
   d->servers = g_hash_table_new (g_str_hash, g_str_equal);
+  d->leavers = leavers_new (d);
   d->prefixes = prefix_map_new (d, PREFIX_ENTRIES);
   d->hosts = 1;
   rng_seed (&d->rng, options->seed);
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -10,6 +10,7 @@
 #include "catalog/catalog.h"
 #include "core/err.h"
 #include "core/tokens.h"
+#include "dispatch/leavers.h"
 #include "dispatch/retry_pool.h"
 #include "dispatch/server_record.h"
 
@@ -28,6 +29,10 @@
   RetryLimits retries;
   uint64_t seed;
   const char *policy; /* "cost", "least", "two_choices" or "random" */
+  /** This host is the first to learn from a server that it leaves. Any thread, without the lock; may be
+   * NULL. */
+  void (*leaves) (void *data, const ServerStart *start);
+  void *leaves_data;
 } DispatchOptions;
 
 /** @return a talloc object under @p ctx. */
@@ -40,6 +45,9 @@
  * because of that and come back: the server may still be used for a while. */
 void dispatch_server_removed (Dispatch *dispatch, const char *id, bool steady, int64_t now_ms);
 
+/** Another host has learned from a server that it leaves. */
+void dispatch_server_leaves (Dispatch *dispatch, const ServerStart *start, int64_t now_ms);
+
 /** Ends the use of servers whose doubt has ended. */
 void dispatch_expire (Dispatch *dispatch, int64_t now_ms);
 
@@ -97,6 +105,13 @@
 /** An answer says for how long its connection is kept (0: not said), and whether it @p closes. */
 void flight_report_connection (Flight *flight, int64_t promised_ms, bool closes);
 
+/** An answer says that its server leaves: it gets nothing new. With @p other the answer is of whatever
+ * server has the address now. */
+void flight_report_leaving (Flight *flight, bool other, int64_t now_ms);
+
+/** An answer says that its server wants nothing from this host for @p ms. */
+void flight_report_pause (Flight *flight, int64_t ms, int64_t now_ms);
+
 typedef enum
 {
   FLIGHT_DONE,        /* a whole answer */
--- a/src/dispatch/dispatch_impl.h
+++ b/src/dispatch/dispatch_impl.h
@@ -10,6 +10,7 @@
 #include "core/rng.h"
 #include "dispatch/cost.h"
 #include "dispatch/dispatch.h"
+#include "dispatch/leavers.h"
 #include "dispatch/prefix_map.h"
 #include "dispatch/server.h"
 
@@ -29,6 +30,7 @@
   GHashTable *pools;   /* by service */
   GHashTable *servers; /* by id */
   PrefixMap *prefixes;
+  Leavers *leavers;
   int hosts;
 };
 
@@ -50,3 +52,5 @@
 /* servers.c */
 Pool *pool_get (Dispatch *d, const char *service);
 void free_if_unused (Server *s);
+/* @return whether that is news. */
+bool mark_leaving (Dispatch *d, Server *s, const char *source, int64_t now_ms);
--- a/src/dispatch/flights.c
+++ b/src/dispatch/flights.c
@@ -1,6 +1,10 @@
+#include <inttypes.h>
+#include <string.h>
+
 #include <talloc.h>
 
 #include "core/invariant.h"
+#include "core/log.h"
 #include "dispatch/dispatch_impl.h"
 
 #define PACE_WEIGHT 0.02
@@ -95,6 +99,56 @@
   pthread_mutex_unlock (&f->dispatch->lock);
 }
 
+/* @return the server that has the flight's address now, if it is known. */
+static Server *
+owner_of_address (const Flight *f)
+{
+  for (ListNode *n = list_first (&f->pool->servers); n; n = list_next (&f->pool->servers, n))
+    {
+      Server *s = LIST_ENTRY (n, Server, node);
+
+      if (s != f->server && !strcmp (s->address, f->server->address))
+        return s;
+    }
+  return NULL;
+}
+
+void
+flight_report_leaving (Flight *f, bool other, int64_t now_ms)
+{
+  Dispatch *d = f->dispatch;
+  void *tmp = talloc_new (NULL);
+  ServerStart start = { 0 };
+  bool is_new = false;
+  Server *s;
+
+  pthread_mutex_lock (&d->lock);
+  s = other ? owner_of_address (f) : f->server;
+  if (s)
+    {
+      is_new = mark_leaving (d, s, "answer", now_ms);
+      start = (ServerStart){ .id = talloc_strdup (tmp, s->id),
+                             .address = talloc_strdup (tmp, s->address),
+                             .born_ms = s->born_ms };
+    }
+  pthread_mutex_unlock (&d->lock);
+  if (is_new && d->options.leaves)
+    d->options.leaves (d->options.leaves_data, &start);
+  talloc_free (tmp);
+}
+
+void
+flight_report_pause (Flight *f, int64_t ms, int64_t now_ms)
+{
+  Dispatch *d = f->dispatch;
+
+  pthread_mutex_lock (&d->lock);
+  server_pause (f->server, ms, now_ms);
+  log_event (LOG_LEVEL_INFO, "dispatch", "server_pauses", "server=%s service=%s ms=%" PRId64,
+             f->server->id, f->server->service, ms);
+  pthread_mutex_unlock (&d->lock);
+}
+
 void
 flight_end (Flight *f, FlightEnd end, int64_t now_ms)
 {
--- a/src/dispatch/server.c
+++ b/src/dispatch/server.c
@@ -96,8 +96,15 @@
   s->slowness += PACE_WEIGHT * (ratio - s->slowness);
 }
 
+void
+server_pause (Server *s, int64_t ms, int64_t now_ms)
+{
+  if (now_ms + ms > s->pause_until_ms)
+    s->pause_until_ms = now_ms + ms;
+}
+
 bool
 server_is_usable (const Server *s, int64_t now_ms)
 {
-  return !s->leaving && !s->gone && now_ms >= s->avoid_until_ms;
+  return !s->leaving && !s->gone && now_ms >= s->avoid_until_ms && now_ms >= s->pause_until_ms;
 }
--- a/src/dispatch/server.h
+++ b/src/dispatch/server.h
@@ -32,7 +32,7 @@
   uint64_t hash; /* of the id, for rendezvous hashing */
   ServerPlace place;
   int slots;
-  bool leaving;
+  bool leaving;             /* as published, or as it said itself */
   bool gone;                /* no longer published; freed with its last request */
   int64_t doubted_until_ms; /* removed while the store was unsteady; 0: not */
   int64_t cold_until_ms;
@@ -56,6 +56,9 @@
   double failing;  /* moving share of requests that failed */
   int failures;    /* in a row, that found no server */
   int64_t avoid_until_ms;
+
+  /* Asked for by the server. */
+  int64_t pause_until_ms; /* it wants nothing from this host before */
 };
 
 /** @return a talloc object under @p ctx. */
@@ -79,5 +82,8 @@
 /** Takes over how long an answer took against what was expected of a server at usual speed. */
 void server_pace (Server *server, double took_ms, double expected_ms);
 
+/** The server wants nothing from this host for @p ms from now. */
+void server_pause (Server *server, int64_t ms, int64_t now_ms);
+
 /** @return whether new requests may go there. */
 bool server_is_usable (const Server *server, int64_t now_ms);
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -46,6 +46,32 @@
   free_if_unused (s);
 }
 
+static ServerStart
+start_of (const Server *s)
+{
+  return (ServerStart){ .id = s->id, .address = s->address, .born_ms = s->born_ms };
+}
+
+static void
+log_leaving (const Server *s, const char *source)
+{
+  log_event (LOG_LEVEL_INFO, "dispatch", "server_leaving",
+             "server=%s service=%s in_flight=%d source=%s", s->id, s->service, s->in_flight,
+             source);
+}
+
+bool
+mark_leaving (Dispatch *d, Server *s, const char *source, int64_t now_ms)
+{
+  ServerStart start = start_of (s);
+  bool is_new = leavers_note (d->leavers, &start, now_ms);
+
+  if (!s->leaving)
+    log_leaving (s, source);
+  s->leaving = true;
+  return is_new;
+}
+
 static ServerPlace
 place_of (const Dispatch *d, const char *data_centre)
 {
@@ -69,6 +95,7 @@
 dispatch_server_changed (Dispatch *d, const ServerRecord *r, int64_t now_ms)
 {
   Server *s;
+  ServerStart start;
   bool was_leaving;
 
   pthread_mutex_lock (&d->lock);
@@ -90,9 +117,10 @@
                  r->address, r->data_centre, r->leaving);
     }
   else if (r->leaving && !was_leaving)
-    log_event (LOG_LEVEL_INFO, "dispatch", "server_leaving", "server=%s service=%s in_flight=%d",
-               r->id, r->service, s->in_flight);
+    log_leaving (s, "entry");
   server_update (s, r, now_ms);
+  start = start_of (s);
+  s->leaving = r->leaving || leavers_has (d->leavers, &start);
   pthread_mutex_unlock (&d->lock);
 }
 
@@ -113,6 +141,19 @@
   pthread_mutex_unlock (&d->lock);
 }
 
+void
+dispatch_server_leaves (Dispatch *d, const ServerStart *start, int64_t now_ms)
+{
+  Server *s;
+
+  pthread_mutex_lock (&d->lock);
+  leavers_note (d->leavers, start, now_ms);
+  s = g_hash_table_lookup (d->servers, start->id);
+  if (s && s->born_ms == start->born_ms && !strcmp (s->address, start->address))
+    mark_leaving (d, s, "host", now_ms);
+  pthread_mutex_unlock (&d->lock);
+}
+
 void
 dispatch_expire (Dispatch *d, int64_t now_ms)
 {
@@ -131,6 +172,7 @@
     }
   for (guint i = 0; i < ended->len; i++)
     retire (d, ended->pdata[i]);
+  leavers_expire (d->leavers, now_ms);
   pthread_mutex_unlock (&d->lock);
   g_ptr_array_free (ended, TRUE);
 }
--- a/src/fleet/registry.c
+++ b/src/fleet/registry.c
@@ -26,6 +26,7 @@
 {
   char *name;
   char *peers;
+  char *data_centre;
   uint64_t incarnation;
   int64_t version;
   int64_t changed_ms;
@@ -50,6 +51,7 @@
 
   g_free (seen->name);
   g_free (seen->peers);
+  g_free (seen->data_centre);
   g_free (seen);
 }
 
@@ -95,24 +97,36 @@
   return (uint64_t)json_integer_value (json_object_get (json, "incarnation"));
 }
 
+/* @return whether the text is another one than before. */
+static bool
+take_text (char **text, const json_t *json, const char *name)
+{
+  const char *now = json_string_value (json_object_get (json, name));
+
+  if (!now)
+    now = "";
+  if (*text && !strcmp (*text, now))
+    return false;
+  g_free (*text);
+  *text = g_strdup (now);
+  return true;
+}
+
 static void
 note_row (Registry *r, const StoreRow *row, int64_t now)
 {
   Seen *seen = g_hash_table_lookup (r->seen, row->key.name);
   json_t *json;
-  const char *peers;
 
   if (seen && seen->version == row->version)
     return;
   json = registry_row_read (row);
-  peers = json_string_value (json_object_get (json, "peers"));
   if (json && !seen)
     seen = add_seen (r, row->key.name);
-  if (json && (!seen->peers || strcmp (seen->peers, peers ? peers : "") != 0))
+  if (json)
     {
-      g_free (seen->peers);
-      seen->peers = g_strdup (peers ? peers : "");
-      r->changed = true;
+      r->changed |= take_text (&seen->peers, json, "peers");
+      r->changed |= take_text (&seen->data_centre, json, "data_centre");
     }
   if (json && seen->incarnation != incarnation_of (json))
     {
@@ -169,7 +183,8 @@
 
       if (seen->gone)
         continue;
-      r->hosts[r->n_hosts++] = (RegistryHost){ seen->name, seen->peers, seen->incarnation };
+      r->hosts[r->n_hosts++]
+          = (RegistryHost){ seen->name, seen->peers, seen->data_centre, seen->incarnation };
     }
   r->changed = false;
   log_event (LOG_LEVEL_NOTICE, "fleet", "hosts", "hosts=%zu before=%zu", r->n_hosts, before);
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -41,6 +41,7 @@
 {
   const char *name;
   const char *peers; /* "IP:port" or "" */
+  const char *data_centre;
   uint64_t incarnation;
 } RegistryHost;
 
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -51,23 +51,7 @@
   catalog_unref (catalog);
 }
 
-static void
-on_server (void *data, const ServerRecord *record)
-{
-  Host *h = data;
-
-  dispatch_server_changed (h->dispatch, record, host_now_ms (h));
-}
-
-static void
-on_server_removed (void *data, const char *id, bool steady)
-{
-  Host *h = data;
-
-  dispatch_server_removed (h->dispatch, id, steady, host_now_ms (h));
-}
-
-static const SourceEvents SOURCE_EVENTS = { on_catalog, on_server, on_server_removed };
+static const SourceEvents SOURCE_EVENTS = { on_catalog, host_on_server, host_on_server_removed };
 
 static const char *
 region_of (void *data, const char *data_centre)
@@ -138,6 +122,8 @@
                                             .window_ms = s->retry_window_ms,
                                             .allowance = s->retry_allowance },
                                .policy = s->placing,
+                               .leaves = host_on_server_leaves,
+                               .leaves_data = h,
                                .seed = h->incarnation };
   BudgetsOptions budgets = { .host = s->host_name,
                              .incarnation = h->incarnation,
--- a/src/host/host_parts.h
+++ b/src/host/host_parts.h
@@ -50,6 +50,14 @@
 /* Tells the parts which hosts there are. */
 void host_on_hosts (void *data);
 
+/* host_servers.c: what is learned of backend servers. */
+void host_on_server (void *data, const ServerRecord *record);
+void host_on_server_removed (void *data, const char *id, bool steady);
+/* Any thread. */
+void host_on_server_leaves (void *data, const ServerStart *start);
+/* @return false if the message is not about servers. */
+bool host_on_server_message (Host *h, const Pond__Envelope *envelope);
+
 /* host_drain.c: the next step of a drain. */
 void host_step_drain (Host *h);
 
--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -8,7 +8,8 @@
 {
   Host *h = data;
 
-  budgets_on_message (h->budgets, envelope);
+  if (!host_on_server_message (h, envelope))
+    budgets_on_message (h->budgets, envelope);
 }
 
 bool
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -78,6 +78,9 @@
 /** @return the value of an answer header, or NULL; valid until the exchange is freed. */
 const char *http_exchange_header (HttpExchange *exchange, const char *name);
 
+/** As http_exchange_header() for the interim answers (1xx) before the answer. */
+const char *http_exchange_early_header (HttpExchange *exchange, const char *name);
+
 /** Calls @p fn for each header of the answer, in order. */
 void http_exchange_each_header (HttpExchange *exchange,
                                 void (*fn) (void *data, const char *name, const char *value),
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -234,16 +234,28 @@
   client_reap_later (x->client);
 }
 
-const char *
-http_exchange_header (HttpExchange *x, const char *name)
+static const char *
+find_header (HttpExchange *x, const char *name, unsigned origin)
 {
   struct curl_header *header;
 
-  if (curl_easy_header (x->easy, name, 0, CURLH_HEADER, -1, &header) != CURLHE_OK)
+  if (curl_easy_header (x->easy, name, 0, origin, -1, &header) != CURLHE_OK)
     return NULL;
   return header->value;
 }
 
+const char *
+http_exchange_header (HttpExchange *x, const char *name)
+{
+  return find_header (x, name, CURLH_HEADER);
+}
+
+const char *
+http_exchange_early_header (HttpExchange *x, const char *name)
+{
+  return find_header (x, name, CURLH_1XX);
+}
+
 void
 http_exchange_each_header (HttpExchange *x,
                            void (*fn) (void *data, const char *name, const char *value), void *data)
--- a/src/native/native_dialect.c
+++ b/src/native/native_dialect.c
@@ -11,6 +11,7 @@
 #include <jansson.h>
 #include <talloc.h>
 
+#include "backend/retry_after.h"
 #include "native/load_report.h"
 #include "native/model_answer.h"
 #include "native/model_body.h"
@@ -207,6 +208,7 @@
   (void)dialect;
   head->matches = id && !strcmp (id, q->id);
   head->sealed = true;
+  head->pause_ms = head->status == 503 ? retry_after_read (call) : 0;
   if (!load || !load_report_parse (load, &report))
     return;
   head->has_load = true;
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &pond__balance_leave__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pond__server_leaves__init
+                     (Pond__ServerLeaves         *message)
+{
+  static const Pond__ServerLeaves init_value = POND__SERVER_LEAVES__INIT;
+  *message = init_value;
+}
+size_t pond__server_leaves__get_packed_size
+                     (const Pond__ServerLeaves *message)
+{
+  assert(message->base.descriptor == &pond__server_leaves__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pond__server_leaves__pack
+                     (const Pond__ServerLeaves *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pond__server_leaves__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pond__server_leaves__pack_to_buffer
+                     (const Pond__ServerLeaves *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pond__server_leaves__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pond__ServerLeaves *
+       pond__server_leaves__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pond__ServerLeaves *)
+     protobuf_c_message_unpack (&pond__server_leaves__descriptor,
+                                allocator, len, data);
+}
+void   pond__server_leaves__free_unpacked
+                     (Pond__ServerLeaves *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pond__server_leaves__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pond__envelope__init
                      (Pond__Envelope         *message)
 {
@@ -463,7 +508,71 @@
   (ProtobufCMessageInit) pond__balance_leave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pond__envelope__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pond__server_leaves__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pond__ServerLeaves, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pond__ServerLeaves, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Pond__ServerLeaves, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pond__server_leaves__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  2,   /* field[2] = born_ms */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange pond__server_leaves__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pond__server_leaves__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pond.ServerLeaves",
+  "ServerLeaves",
+  "Pond__ServerLeaves",
+  "pond",
+  sizeof(Pond__ServerLeaves),
+  3,
+  pond__server_leaves__field_descriptors,
+  pond__server_leaves__field_indices_by_name,
+  1,  pond__server_leaves__number_ranges,
+  (ProtobufCMessageInit) pond__server_leaves__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pond__envelope__field_descriptors[7] =
 {
   {
     "from",
@@ -537,6 +646,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server_leaves",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pond__Envelope, body_case),
+    offsetof(Pond__Envelope, server_leaves),
+    &pond__server_leaves__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pond__envelope__field_indices_by_name[] = {
   3,   /* field[3] = balance_ask */
@@ -544,13 +665,14 @@
   5,   /* field[5] = balance_leave */
   0,   /* field[0] = from */
   1,   /* field[1] = from_incarnation */
+  6,   /* field[6] = server_leaves */
   2,   /* field[2] = to */
 };
 static const ProtobufCIntRange pond__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor pond__envelope__descriptor =
 {
@@ -560,7 +682,7 @@
   "Pond__Envelope",
   "pond",
   sizeof(Pond__Envelope),
-  6,
+  7,
   pond__envelope__field_descriptors,
   pond__envelope__field_indices_by_name,
   2,  pond__envelope__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Pond__BalanceAsk Pond__BalanceAsk;
 typedef struct Pond__BalanceGive Pond__BalanceGive;
 typedef struct Pond__BalanceLeave Pond__BalanceLeave;
+typedef struct Pond__ServerLeaves Pond__ServerLeaves;
 typedef struct Pond__Envelope Pond__Envelope;
 
 
@@ -83,11 +84,27 @@
      }
 
 
+/*
+ * A backend server has told the sender that it leaves: this start of it gets nothing new.
+ */
+struct  Pond__ServerLeaves
+{
+  ProtobufCMessage base;
+  char *server;
+  char *address;
+  int64_t born_ms;
+};
+#define POND__SERVER_LEAVES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pond__server_leaves__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 typedef enum {
   POND__ENVELOPE__BODY__NOT_SET = 0,
   POND__ENVELOPE__BODY_BALANCE_ASK = 10,
   POND__ENVELOPE__BODY_BALANCE_GIVE = 11,
-  POND__ENVELOPE__BODY_BALANCE_LEAVE = 12
+  POND__ENVELOPE__BODY_BALANCE_LEAVE = 12,
+  POND__ENVELOPE__BODY_SERVER_LEAVES = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POND__ENVELOPE__BODY__CASE)
 } Pond__Envelope__BodyCase;
 
@@ -102,6 +119,7 @@
     Pond__BalanceAsk *balance_ask;
     Pond__BalanceGive *balance_give;
     Pond__BalanceLeave *balance_leave;
+    Pond__ServerLeaves *server_leaves;
   };
 };
 #define POND__ENVELOPE__INIT \
@@ -166,6 +184,25 @@
 void   pond__balance_leave__free_unpacked
                      (Pond__BalanceLeave *message,
                       ProtobufCAllocator *allocator);
+/* Pond__ServerLeaves methods */
+void   pond__server_leaves__init
+                     (Pond__ServerLeaves         *message);
+size_t pond__server_leaves__get_packed_size
+                     (const Pond__ServerLeaves   *message);
+size_t pond__server_leaves__pack
+                     (const Pond__ServerLeaves   *message,
+                      uint8_t             *out);
+size_t pond__server_leaves__pack_to_buffer
+                     (const Pond__ServerLeaves   *message,
+                      ProtobufCBuffer     *buffer);
+Pond__ServerLeaves *
+       pond__server_leaves__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pond__server_leaves__free_unpacked
+                     (Pond__ServerLeaves *message,
+                      ProtobufCAllocator *allocator);
 /* Pond__Envelope methods */
 void   pond__envelope__init
                      (Pond__Envelope         *message);
@@ -196,6 +233,9 @@
 typedef void (*Pond__BalanceLeave_Closure)
                  (const Pond__BalanceLeave *message,
                   void *closure_data);
+typedef void (*Pond__ServerLeaves_Closure)
+                 (const Pond__ServerLeaves *message,
+                  void *closure_data);
 typedef void (*Pond__Envelope_Closure)
                  (const Pond__Envelope *message,
                   void *closure_data);
@@ -208,6 +248,7 @@
 extern const ProtobufCMessageDescriptor pond__balance_ask__descriptor;
 extern const ProtobufCMessageDescriptor pond__balance_give__descriptor;
 extern const ProtobufCMessageDescriptor pond__balance_leave__descriptor;
+extern const ProtobufCMessageDescriptor pond__server_leaves__descriptor;
 extern const ProtobufCMessageDescriptor pond__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -214,12 +214,19 @@
   return VERDICT_NONE;
 }
 
+/* What the head says of its server, whatever it says of the request. */
 static void
-note_connection (Attempt *a, BackendCall *call)
+report_server (Attempt *a, BackendCall *call, int64_t now)
 {
   KeepAlive keep = keep_alive_read (call);
 
   flight_report_connection (a->flight, keep.promised_ms, keep.closes);
+  if (a->head.has_load && a->head.matches)
+    flight_report_load (a->flight, a->head.running, a->head.waiting, a->head.slots, now);
+  if (a->head.leaving)
+    flight_report_leaving (a->flight, a->head.is_other, now);
+  if (a->head.pause_ms > 0)
+    flight_report_pause (a->flight, a->head.pause_ms, now);
 }
 
 static bool
@@ -234,9 +241,7 @@
   a->answered = true;
   a->head.status = status;
   r->deps->dialect->ops->read_head (r->deps->dialect, r->request, call, &a->head);
-  note_connection (a, call);
-  if (a->head.has_load && a->head.matches)
-    flight_report_load (a->flight, a->head.running, a->head.waiting, a->head.slots, now);
+  report_server (a, call, now);
   a->verdict = verdict_of (a);
   if (a->verdict == VERDICT_MISMATCHED || a->verdict == VERDICT_UNUSABLE)
     return false;
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -49,10 +49,12 @@
 typedef struct
 {
   int status;
-  bool matches;  /* belongs to the request that was sent */
-  bool sealed;   /* is marked as the answer of a server */
-  bool not_run;  /* the server says that it did not run the request */
-  bool is_other; /* another server has the address */
+  bool matches;     /* belongs to the request that was sent */
+  bool sealed;      /* is marked as the answer of a server */
+  bool not_run;     /* the server says that it did not run the request */
+  bool is_other;    /* another server has the address */
+  bool leaving;     /* the server is about to stop */
+  int64_t pause_ms; /* the server wants nothing from this host for so long; 0: not said */
   bool has_load;
   int running;
   int waiting;
--- a/tests/fakes/fake_backend.c
+++ b/tests/fakes/fake_backend.c
@@ -55,6 +55,17 @@
   return NULL;
 }
 
+static const char *
+early_header (BackendCall *call, const char *name)
+{
+  const char *const *h = ((FakeBackendCall *)call)->early_headers;
+
+  for (; h && *h; h += 2)
+    if (!strcasecmp (h[0], name))
+      return h[1];
+  return NULL;
+}
+
 static void
 each_header (BackendCall *call, BackendHeaderFn fn, void *data)
 {
@@ -64,7 +75,7 @@
     fn (data, h[0], h[1]);
 }
 
-static const BackendOps OPS = { start, cancel, resume, header, each_header };
+static const BackendOps OPS = { start, cancel, resume, header, early_header, each_header };
 
 FakeBackend *
 fake_backend_new (const void *ctx)
--- a/tests/fakes/fake_backend.h
+++ b/tests/fakes/fake_backend.h
@@ -18,6 +18,7 @@
   char *body;
   FailurePoint reached;              /* what cancel answers */
   const char *const *answer_headers; /* name, value, name, value, ..., NULL */
+  const char *const *early_headers;  /* the same of an interim answer */
   const BackendEvents *events;
   void *data;
 } FakeBackendCall;
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -259,6 +259,84 @@
   dispatch_world_free (w);
 }
 
+static ServerRecord
+lone_server (const char *id, int64_t born_ms)
+{
+  return (ServerRecord){ .id = id,
+                         .service = "engine",
+                         .address = id,
+                         .data_centre = "d",
+                         .version = "v1",
+                         .born_ms = born_ms };
+}
+
+/* Guards against a server that has said that it leaves and is in use again, because an entry that is older
+ * than its word comes back: after a lapse, or from a store that shows old rows. */
+static void
+what_a_server_said_outlives_its_entry (void)
+{
+  DispatchWorld *w = dispatch_world_new (1, 1, "cost");
+  ServerRecord record = lone_server ("server-0", 0);
+  Err err = ERR_INIT;
+  Flight *f = pick (w, 0, 1, &err);
+
+  flight_report_leaving (f, false, w->now_ms);
+  drop (w, f, FLIGHT_DONE);
+  dispatch_server_changed (w->hosts[0], &record, w->now_ms);
+  CU_ASSERT_PTR_NULL (pick (w, 0, 1, &err));
+  dispatch_server_removed (w->hosts[0], "server-0", true, w->now_ms);
+  dispatch_server_changed (w->hosts[0], &record, w->now_ms);
+  CU_ASSERT_PTR_NULL (pick (w, 0, 1, &err));
+  record.born_ms = 7;
+  dispatch_server_changed (w->hosts[0], &record, w->now_ms);
+  f = pick (w, 0, 1, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f);
+  drop (w, f, FLIGHT_DONE);
+  dispatch_world_free (w);
+}
+
+static void
+count_news (void *data, const ServerStart *start)
+{
+  (void)start;
+  ++*(int *)data;
+}
+
+/* Guards against hosts that go on telling each other, and against one that forgets what it is told of a server
+ * whose entry it has not read yet. */
+static void
+hosts_tell_each_other_once_who_leaves (void)
+{
+  DispatchWorld *w = dispatch_world_new (1, 0, "cost");
+  int told = 0;
+  DispatchOptions options = {
+    .data_centre = "d", .region = "d", .policy = "cost", .leaves = count_news, .leaves_data = &told
+  };
+  Dispatch *d = dispatch_new (w, &options);
+  ServerRecord first = lone_server ("server-1", 3);
+  ServerRecord second = lone_server ("server-2", 3);
+  ServerStart start = { "server-1", "server-1", 3 };
+  PromptPart parts[3];
+  DispatchQuery q;
+  Err err = ERR_INIT;
+  Flight *f;
+
+  dispatch_server_leaves (d, &start, w->now_ms);
+  dispatch_server_changed (d, &first, w->now_ms);
+  dispatch_world_query (w, &q, parts, 1, 100, 100);
+  CU_ASSERT_PTR_NULL (dispatch_pick (d, w, &q, &err));
+  CU_ASSERT_EQUAL (told, 0);
+  dispatch_server_changed (d, &second, w->now_ms);
+  f = dispatch_pick (d, w, &q, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f);
+  flight_report_leaving (f, false, w->now_ms);
+  flight_report_leaving (f, false, w->now_ms);
+  CU_ASSERT_EQUAL (told, 1);
+  flight_end (f, FLIGHT_DONE, w->now_ms);
+  talloc_free (d);
+  dispatch_world_free (w);
+}
+
 int
 main (void)
 {
@@ -267,6 +345,8 @@
     { "sessions_are_kept_together_without_waiting", sessions_are_kept_together_without_waiting },
     { "leaving_servers_get_no_work", leaving_servers_get_no_work },
     { "lapsed_entries_are_doubted_first", lapsed_entries_are_doubted_first },
+    { "what_a_server_said_outlives_its_entry", what_a_server_said_outlives_its_entry },
+    { "hosts_tell_each_other_once_who_leaves", hosts_tell_each_other_once_who_leaves },
     { "failing_servers_get_less", failing_servers_get_less },
     { "unreachable_servers_are_left_alone_for_a_while",
       unreachable_servers_are_left_alone_for_a_while },
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -173,8 +173,8 @@
 {
   Dialect *dialect = platform_dialect ();
   static const char *const KEPT[] = { "X-Response-Seal", "X-Request-Id", "Content-Type", "Vary" };
-  static const char *const DROPPED[]
-      = { "connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "X-Server-Load" };
+  static const char *const DROPPED[] = { "connection",     "Keep-Alive",    "Transfer-Encoding",
+                                         "Content-Length", "X-Server-Load", "Server-Leaving" };
 
   for (size_t i = 0; i < sizeof KEPT / sizeof KEPT[0]; i++)
     CU_ASSERT (dialect->ops->returns_header (dialect, KEPT[i]));
