--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -196,6 +196,30 @@
                entry->workers[i]);
 }
 
+static void
+refuse_connections (void *data)
+{
+  Worker *w = data;
+
+  http_server_refuse_connections (w->server, true);
+}
+
+static void
+take_connections (void *data)
+{
+  Worker *w = data;
+
+  http_server_refuse_connections (w->server, false);
+}
+
+void
+entry_refuse_connections (Entry *entry, bool on)
+{
+  for (unsigned i = 0; i < entry->n_workers; i++)
+    loop_post (entry->workers[i]->loop, on ? refuse_connections : take_connections,
+               entry->workers[i]);
+}
+
 void
 entry_refuse_new (Entry *entry)
 {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -36,6 +36,9 @@
 /** Has each answer end its connection from now on, or no longer. */
 void entry_close_after_answers (Entry *entry, bool on);
 
+/** Refuses new connections from now on, or no longer; their clients come back elsewhere. */
+void entry_refuse_connections (Entry *entry, bool on);
+
 /** Refuses new requests from now on; those that have begun go on. Any thread. */
 void entry_refuse_new (Entry *entry);
 
--- a/src/entry/rotation.c
+++ b/src/entry/rotation.c
@@ -19,15 +19,6 @@
   *r = (Rotation){ .link_bytes_s = link_bytes_s, .last_ms = now_ms };
 }
 
-static int64_t
-busier (Traffic a, Traffic b)
-{
-  int64_t received = a.received - b.received;
-  int64_t sent = a.sent - b.sent;
-
-  return received > sent ? received : sent;
-}
-
 static void
 average (Rotation *r, Traffic total, int64_t now_ms)
 {
@@ -36,7 +27,7 @@
 
   if (passed <= 0)
     return;
-  rate = busier (total, r->last) * 1000 / passed;
+  rate = traffic_busier (total, r->last) * 1000 / passed;
   if (passed > AVERAGE_MS)
     passed = AVERAGE_MS;
   r->rate += (rate - r->rate) * passed / AVERAGE_MS;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -78,6 +78,21 @@
   entry_close_after_answers (h->entry, !in);
 }
 
+static void
+update_gate (Host *h)
+{
+  bool before = !h->gate.closed;
+  bool open = h->drain_ms ? gate_open (&h->gate)
+                          : gate_update (&h->gate, traffic_total (), host_now_ms (h));
+
+  if (open == before)
+    return;
+  log_event (LOG_LEVEL_NOTICE, "host", open ? "gate_opened" : "gate_closed",
+             "link_bytes_s=%" PRId64 " rate=%" PRId64 " open=%zu", h->gate.link_bytes_s,
+             h->gate.rate, entry_open_requests (h->entry));
+  entry_refuse_connections (h->entry, !open);
+}
+
 static void
 on_tick (void *data)
 {
@@ -86,6 +101,7 @@
   timers_start (loop_timers (h->control), h, TICK_MS, on_tick, h);
   dispatch_expire (h->dispatch, host_now_ms (h));
   update_rotation (h);
+  update_gate (h);
   if (h->drain_ms)
     host_step_drain (h);
   log_flush ();
@@ -273,6 +289,7 @@
       return NULL;
     }
   rotation_init (&h->rotation, settings->link_bytes_s, host_now_ms (h));
+  gate_init (&h->gate, settings->link_bytes_s, host_now_ms (h));
   start_following (h);
   timers_start (loop_timers (control), h, TICK_MS, on_tick, h);
   log_event (LOG_LEVEL_NOTICE, "host", "start",
--- a/src/host/host_parts.h
+++ b/src/host/host_parts.h
@@ -5,6 +5,7 @@
 #include "catalog/catalog_store.h"
 #include "dispatch/dispatch.h"
 #include "entry/entry.h"
+#include "entry/gate.h"
 #include "entry/readiness.h"
 #include "entry/rotation.h"
 #include "fleet/registry.h"
@@ -31,6 +32,7 @@
   Entry *entry;
   Readiness *readiness;
   Rotation rotation;
+  Gate gate;
   Operator *operators;
   int64_t drain_ms; /* since when; 0: not */
   bool closing;     /* answers end their connections */
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,8 +1,6 @@
 #include "http/server_impl.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,13 +12,12 @@
 #include <talloc.h>
 
 #include "core/log.h"
-#include "core/address.h"
 
-#define SWEEP_MS       1000
-#define LISTEN_BACKLOG 1024u
+#define SWEEP_MS 1000
+
 /* libmicrohttpd refuses headers beyond its pool with a page of its own; the pool is larger than our
  * limit so that our own answer is the usual one. */
-#define POOL_EXTRA     1024
+#define POOL_EXTRA 1024
 
 /* Resuming a connection does not make libmicrohttpd's own descriptor readable. An immediate event
  * would run once per resumed connection, and each run walks all suspended ones: with 1000 streams
@@ -112,6 +109,24 @@
     }
 }
 
+/* Beyond the limit connections wait until another one ends. */
+static void
+hold_if_full (HttpServer *server)
+{
+  if (server->listener)
+    listener_hold (server->listener, server->n_connections >= server->max_connections);
+}
+
+/* libmicrohttpd closes a connection that it does not take. */
+static void
+on_accepted (void *data, int fd, const Address *peer)
+{
+  HttpServer *server = data;
+
+  MHD_add_connection (server->daemon, fd, (const struct sockaddr *)&peer->storage, peer->len);
+  server_run_soon (server);
+}
+
 static void
 connection_opened (HttpServer *server, struct MHD_Connection *mhd, void **context)
 {
@@ -124,6 +139,8 @@
   c->fd = info->connect_fd;
   c->since_ms = timers_now_ms (loop_timers (server->loop));
   list_append (&server->connections, &c->node);
+  server->n_connections++;
+  hold_if_full (server);
   epoll_ctl (server->hangup_fd, EPOLL_CTL_ADD, c->fd, &event);
   *context = c;
 }
@@ -143,6 +160,8 @@
     return;
   epoll_ctl (c->server->hangup_fd, EPOLL_CTL_DEL, c->fd, NULL);
   list_remove (&c->node);
+  c->server->n_connections--;
+  hold_if_full (c->server);
   *context = NULL;
   talloc_free (c);
 }
@@ -192,6 +211,7 @@
   TALLOC_FREE (server->daemon_event);
   TALLOC_FREE (server->hangup_event);
   TALLOC_FREE (server->wake_event);
+  TALLOC_FREE (server->listener);
   if (server->daemon)
     {
       /* libmicrohttpd must not be stopped with suspended connections. */
@@ -218,23 +238,27 @@
 static bool
 start_daemon (HttpServer *server, const HttpServerOptions *o)
 {
-  Address address;
-  unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+  unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET;
 
-  if (!address_parse (o->listen, &address))
-    return false;
-  if (address.storage.ss_family == AF_INET6)
-    flags |= MHD_USE_IPv6;
   server->daemon = MHD_start_daemon (
-      flags, 0, NULL, NULL, server_on_access, server, MHD_OPTION_SOCK_ADDR, &address.storage,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG,
-      MHD_OPTION_CONNECTION_LIMIT, o->max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)(o->max_header + POOL_EXTRA), MHD_OPTION_URI_LOG_CALLBACK, server_on_request_line,
-      server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_NOTIFY_COMPLETED,
-      server_on_completed, server, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+      flags, 0, NULL, NULL, server_on_access, server, MHD_OPTION_CONNECTION_LIMIT,
+      o->max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)(o->max_header + POOL_EXTRA),
+      MHD_OPTION_URI_LOG_CALLBACK, server_on_request_line, server, MHD_OPTION_NOTIFY_CONNECTION,
+      on_connection, server, MHD_OPTION_NOTIFY_COMPLETED, server_on_completed, server,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
   return server->daemon != NULL;
 }
 
+static bool
+start_listener (HttpServer *server, const HttpServerOptions *o)
+{
+  ListenerOptions options
+      = { .loop = server->loop, .listen = o->listen, .fn = on_accepted, .data = server };
+
+  server->listener = listener_new (server, &options);
+  return server->listener != NULL;
+}
+
 HttpServer *
 http_server_new (const void *ctx, Loop *loop, const HttpServerOptions *o)
 {
@@ -246,13 +270,15 @@
   server->data = o->data;
   server->max_body = o->max_body;
   server->max_header = o->max_header;
+  server->max_connections = o->max_connections;
   http_server_set_timeouts (server, o->read_timeout_ms, o->idle_timeout_ms);
   server->timeout_answer = talloc_strdup (server, o->timeout_answer ? o->timeout_answer : "{}");
   list_init (&server->connections);
   server->hangup_fd = epoll_create1 (EPOLL_CLOEXEC);
   talloc_set_destructor (server, server_destroy);
   server->wake_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
-  if (server->hangup_fd < 0 || server->wake_fd < 0 || !start_daemon (server, o))
+  if (server->hangup_fd < 0 || server->wake_fd < 0 || !start_daemon (server, o)
+      || !start_listener (server, o))
     {
       talloc_free (server);
       return NULL;
@@ -278,7 +304,7 @@
 uint16_t
 http_server_port (const HttpServer *server)
 {
-  return MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  return listener_port (server->listener);
 }
 
 size_t
@@ -287,6 +313,12 @@
   return server->open_calls;
 }
 
+void
+http_server_refuse_connections (HttpServer *server, bool on)
+{
+  listener_refuse (server->listener, on);
+}
+
 void
 http_server_close_after_answer (HttpServer *server, bool on)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -64,6 +64,9 @@
 /** Has every answer from now on end its connection. */
 void http_server_close_after_answer (HttpServer *server, bool on);
 
+/** Refuses new connections from now on, or no longer. */
+void http_server_refuse_connections (HttpServer *server, bool on);
+
 void http_call_set_data (HttpCall *call, void *call_data);
 void *http_call_data (const HttpCall *call);
 
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -7,6 +7,7 @@
 #include <microhttpd.h>
 
 #include "core/list.h"
+#include "http/listener.h"
 #include "http/server.h"
 
 typedef struct Connection Connection;
@@ -30,7 +31,10 @@
   bool close_after_answer;
   int hangup_fd; /* epoll set that reports clients that close; a suspended connection is not
                     in libmicrohttpd's own set */
+  Listener *listener;
   List connections;
+  size_t n_connections;
+  size_t max_connections;
   size_t open_calls;
 };
 
--- a/src/http/traffic.c
+++ b/src/http/traffic.c
@@ -36,3 +36,12 @@
   pthread_once (&once, make);
   return (Traffic){ counter_value (received), counter_value (sent) };
 }
+
+int64_t
+traffic_busier (Traffic now, Traffic before)
+{
+  int64_t in = now.received - before.received;
+  int64_t out = now.sent - before.sent;
+
+  return in > out ? in : out;
+}
--- a/src/http/traffic.h
+++ b/src/http/traffic.h
@@ -21,3 +21,6 @@
 } Traffic;
 
 Traffic traffic_total (void);
+
+/** @return bytes between two totals in the direction that has more. */
+int64_t traffic_busier (Traffic now, Traffic before);
