Go on after the store came back from a copy

By a test of ours that failed first: an account of 500,000 gave out more than its limit after the store went back (what had been drawn since the copy was free in the row), and a watch stood still until the store's versions had come to where they were: no configuration, no server, no drain in that time.

--- a/src/budget/account.h
+++ b/src/budget/account.h
@@ -22,6 +22,13 @@
   Tokens granted; /* to all hosts, what they gave back taken off */
   Tokens limit;
   int64_t limit_version; /* of the configuration that set the limit */
+  int64_t era;           /* of the store, in which it was written; 0: the store states none */
+  int64_t parent;        /* version of the row that it was written over */
+  /* What it was taken from when it was first written in this era, put_back.h. */
+  int64_t base_era;
+  int64_t base_parent;
+  Tokens base_granted;
+  int64_t put_back_ms; /* the store's time then */
 } BudgetRow;
 
 /** This host's row beside it. It says whether a transaction without an answer was made. */
--- a/src/budget/budget_rows.c
+++ b/src/budget/budget_rows.c
@@ -9,9 +9,18 @@
 budget_row_write (const BudgetRow *row, char text[BUDGET_ROW_BYTES])
 {
   int n = snprintf (text, BUDGET_ROW_BYTES,
-                    "{\"granted\":%" PRId64 ",\"limit\":%" PRId64 ",\"limit_version\":%" PRId64 "}",
+                    "{\"granted\":%" PRId64 ",\"limit\":%" PRId64 ",\"limit_version\":%" PRId64,
                     row->granted, row->limit, row->limit_version);
 
+  if (row->era > 0)
+    n += snprintf (text + n, BUDGET_ROW_BYTES - (size_t)n,
+                   ",\"era\":%" PRId64 ",\"base_era\":%" PRId64 ",\"parent\":%" PRId64
+                   ",\"base_parent\":%" PRId64 ",\"base_granted\":%" PRId64
+                   ",\"put_back_ms\":%" PRId64,
+                   row->era, row->base_era, row->parent, row->base_parent, row->base_granted,
+                   row->put_back_ms);
+  n += snprintf (text + n, BUDGET_ROW_BYTES - (size_t)n, "}");
+
   return (size_t)n;
 }
 
@@ -45,6 +54,13 @@
             && read_integer (json, "limit", &row->limit)
             && read_integer (json, "limit_version", &row->limit_version);
 
+  /* Rows of an earlier release have none of these. */
+  row->era = json_integer_value (json_object_get (json, "era"));
+  row->base_era = json_integer_value (json_object_get (json, "base_era"));
+  row->parent = json_integer_value (json_object_get (json, "parent"));
+  row->base_parent = json_integer_value (json_object_get (json, "base_parent"));
+  row->base_granted = json_integer_value (json_object_get (json, "base_granted"));
+  row->put_back_ms = json_integer_value (json_object_get (json, "put_back_ms"));
   json_decref (json);
   return ok;
 }
--- a/src/budget/budget_rows.h
+++ b/src/budget/budget_rows.h
@@ -9,7 +9,7 @@
 #define BUDGET_TABLE       "budgets"
 #define BUDGET_ACCOUNT_ROW "account"
 #define BUDGET_HOST_PREFIX "host:"
-#define BUDGET_ROW_BYTES   192
+#define BUDGET_ROW_BYTES   384
 
 /** Writes a row's value. @return its length. */
 size_t budget_row_write (const BudgetRow *row, char text[BUDGET_ROW_BYTES]);
--- a/src/budget/budgets.c
+++ b/src/budget/budgets.c
@@ -92,7 +92,8 @@
 
   pthread_mutex_lock (&b->lock);
   needed = a->state.keeper || a->state.waiting > 0 || a->state.granted != 0
-           || supply_is_busy (a->supply) || supply_may_reclaim (a->supply);
+           || supply_is_busy (a->supply) || supply_may_reclaim (a->supply)
+           || supply_is_behind (a->supply);
   pthread_mutex_unlock (&b->lock);
   return needed;
 }
@@ -146,6 +147,23 @@
   budgets_step (b);
 }
 
+/* --- Eras of the store ------------------------------------------------------------------- */
+
+static void
+on_went_back (void *data, int64_t era)
+{
+  Budgets *b = data;
+  GHashTableIter iter;
+  gpointer value;
+
+  (void)era;
+  pthread_mutex_lock (&b->lock);
+  g_hash_table_iter_init (&iter, b->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    supply_went_back (((Account *)value)->supply);
+  pthread_mutex_unlock (&b->lock);
+}
+
 /* --- Configuration ----------------------------------------------------------------------- */
 
 typedef struct
@@ -251,6 +269,7 @@
 static int
 budgets_destroy (Budgets *b)
 {
+  list_remove (&b->listener.node);
   g_hash_table_unref (b->accounts);
   pthread_mutex_destroy (&b->lock);
   return 0;
@@ -287,6 +306,8 @@
   b->started_ms = timers_now_ms (options->timers);
   b->accounts = g_hash_table_new (g_str_hash, g_str_equal);
   make_parts (b);
+  b->listener = (StoreEraListener){ .went_back = on_went_back, .data = b };
+  store_era_listen (&options->store->era, &b->listener);
   talloc_set_destructor (b, budgets_destroy);
   timers_start (options->timers, b, STEP_MS, on_tick, b);
   return b;
--- a/src/budget/budgets_impl.h
+++ b/src/budget/budgets_impl.h
@@ -46,6 +46,7 @@
   Ceilings *ceilings;
   bool kicked; /* a step has been posted */
   int64_t started_ms;
+  StoreEraListener listener;
 };
 
 /** Where the tokens that a reservation waits for are to come from. */
--- a/src/budget/ceilings.c
+++ b/src/budget/ceilings.c
@@ -53,6 +53,7 @@
   atomic_int_fast64_t base_ms;
   bool on_their_way; /* collected ceilings wait for an answer */
   bool hurry;
+  StoreEraListener listener;
   /* Of the last incarnation. */
   json_t *last;
   uint64_t last_incarnation;
@@ -121,6 +122,9 @@
   int64_t age = store_time_ms - written;
 
   c->last_incarnation = (uint64_t)json_integer_value (json_object_get (json, "incarnation"));
+  /* One of another era may be older than what the last incarnation went by. */
+  if (json_integer_value (json_object_get (json, "era")) != c->options.store->era.now)
+    age = -1;
   c->last = json_incref (json_object_get (json, "ceilings"));
   if (written > 0 && age >= 0 && c->last_incarnation != c->options.incarnation)
     c->last_age_ms = age + CLOCK_MARGIN_MS + age / CLOCK_MARGIN_PART;
@@ -275,8 +279,9 @@
   if (!c->on_their_way)
     c->begun_ms = c->called_ms;
   c->on_their_way = true;
-  json = json_pack ("{s:I,s:I,s:o}", "incarnation", (json_int_t)c->options.incarnation,
-                    "store_time_ms", (json_int_t)c->store_time_ms, "ceilings", list);
+  json = json_pack ("{s:I,s:I,s:I,s:o}", "incarnation", (json_int_t)c->options.incarnation, "era",
+                    (json_int_t)c->options.store->era.now, "store_time_ms",
+                    (json_int_t)c->store_time_ms, "ceilings", list);
   text = json_dumps (json, JSON_COMPACT);
   json_decref (json);
   talloc_free (c->sent);
@@ -304,9 +309,20 @@
 
 /* --- Set-up and questions ---------------------------------------------------------------- */
 
+/* The row is that of the copy. Until the next publication a new incarnation takes nothing back. */
+static void
+on_went_back (void *data, int64_t era)
+{
+  Ceilings *c = data;
+
+  (void)era;
+  c->checked = false;
+}
+
 static int
 ceilings_destroy (Ceilings *c)
 {
+  list_remove (&c->listener.node);
   json_decref (c->last);
   return 0;
 }
@@ -321,6 +337,8 @@
   c->hosts = 1;
   c->patience_ms = PATIENCE_MS;
   c->last_age_ms = -1;
+  c->listener = (StoreEraListener){ .went_back = on_went_back, .data = c };
+  store_era_listen (&options->store->era, &c->listener);
   talloc_set_destructor (c, ceilings_destroy);
   read_row (c);
   return c;
--- /dev/null
+++ b/src/budget/put_back.c
@@ -0,0 +1,39 @@
+#include "budget/put_back.h"
+
+static void
+begin_era (BudgetRow *row, int64_t era, int64_t store_ms)
+{
+  row->base_era = row->era;
+  row->base_parent = row->parent;
+  row->base_granted = row->granted;
+  row->era = era;
+  row->put_back_ms = store_ms;
+}
+
+static bool
+is_newer (const RowKnowledge *mine, const BudgetRow *row)
+{
+  if (mine->era != row->base_era)
+    return mine->era > row->base_era;
+  return mine->version > row->base_parent;
+}
+
+bool
+put_back (BudgetRow *row, int64_t era, const RowKnowledge *mine, int64_t store_ms)
+{
+  bool begun = era > 0 && row->era < era;
+
+  if (begun)
+    begin_era (row, era, store_ms);
+  if (!mine || !is_newer (mine, row) || mine->granted <= row->base_granted)
+    return begun;
+  row->granted += mine->granted - row->base_granted;
+  row->base_granted = mine->granted;
+  return true;
+}
+
+bool
+put_back_is_settled (const BudgetRow *row, int64_t era, int64_t store_ms)
+{
+  return era == 0 || (row->era == era && store_ms - row->put_back_ms >= PUT_BACK_MS);
+}
--- a/src/budget/supply.c
+++ b/src/budget/supply.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "budget/budget_rows.h"
+#include "budget/put_back.h"
 #include "core/log.h"
 
 #define PART_ROWS           500
@@ -48,6 +49,13 @@
   int64_t total_ms;
   int64_t fresh_ms;
 
+  /* After the store went back. */
+  bool went_back;
+  RowKnowledge mine; /* of the row before; version 0: nothing */
+  bool put_back_due;
+  int64_t store_time_ms; /* of the last answer */
+  int64_t sent_era;      /* of the transaction on its way */
+
   uint64_t next_seq;
   OpenTxn sent; /* the one on its way */
   BudgetRow sent_row;
@@ -82,6 +90,14 @@
   s->n_open = 0;
 }
 
+/* A transaction over a change of the era. What it drew is not used; what it gave back may be free in a row
+ * that is older or newer than the change, and is not used either. */
+static void
+resolve_void (Supply *s, const OpenTxn *t)
+{
+  resolve (s, t, t->change < 0);
+}
+
 static bool
 is_open (const Supply *s, uint64_t seq)
 {
@@ -112,7 +128,8 @@
   Tokens ceiling = ceilings_of_last (s->options.ceilings, row->incarnation, s->options.account);
 
   s->spent_before = tokens_max (s->spent_before, row->spent);
-  if (ceiling >= 0)
+  /* It may have been taken back before the store went back. */
+  if (ceiling >= 0 && !s->went_back)
     s->reclaim = tokens_max (row->granted - ceiling, 0);
 }
 
@@ -170,6 +187,9 @@
         }
     }
   drop_dead (s);
+  s->store_time_ms = reply->time_ms;
+  s->put_back_due = put_back (&s->account->row, s->options.store->era.now,
+                              s->mine.version > 0 ? &s->mine : NULL, reply->time_ms);
   s->account->row.granted -= s->reclaim;
   s->account->known = true;
   s->fresh_ms = now;
@@ -249,11 +269,13 @@
       s->row_version = reply->version;
       s->host_row_version = reply->version;
       s->fresh_ms = timers_now_ms (s->options.timers);
+      s->store_time_ms = reply->time_ms;
       s->conflicts = 0;
       if (s->reclaim > 0)
         log_event (LOG_LEVEL_NOTICE, "budget", "reclaimed", "account=%s tokens=%" PRId64,
                    s->options.account, s->reclaim);
       s->reclaim = 0;
+      s->put_back_due = false;
       resolve (s, &s->sent, true);
       /* They checked a version that this transaction has replaced. */
       resolve_all (s, 0);
@@ -268,7 +290,9 @@
       break;
     case STORE_UNKNOWN:
     case STORE_HISTORY_GONE:
-      if (s->n_open < MAX_OPEN)
+      if (s->sent_era != s->options.store->era.now)
+        resolve_void (s, &s->sent);
+      else if (s->n_open < MAX_OPEN)
         s->open[s->n_open++] = s->sent;
       break;
     }
@@ -326,11 +350,20 @@
                           { host_key, host_text, budget_host_row_write (host, host_text) } };
   StoreTxn txn = { .checks = checks, .n_checks = 2, .writes = writes, .n_writes = 2 };
 
+  s->sent_era = s->options.store->era.now;
   s->sent = (OpenTxn){ host->seq, s->row_version, change };
   s->sent_row = *next;
   s->call = store_txn (s->options.store, s, &txn, on_txn, s);
 }
 
+/* The other hosts may not have put back yet what they know. */
+static bool
+may_draw (const Supply *s, int64_t now_ms)
+{
+  return put_back_is_settled (&s->account->row, s->options.store->era.now,
+                              s->store_time_ms + now_ms - s->fresh_ms);
+}
+
 /* What to draw, or, below zero, to give back. A host gives nothing back to a store that does not answer: the
  * tokens would wait in the transaction while requests here need them. */
 static Tokens
@@ -341,7 +374,7 @@
                       ? -a->balance
                       : budget_account_change (a, s->options.policy, now_ms);
 
-  if (s->n_open == MAX_OPEN)
+  if (s->n_open == MAX_OPEN || (change > 0 && !may_draw (s, now_ms)))
     return 0;
   if (change < 0 && ceilings_is_stalled (s->options.ceilings, now_ms))
     return 0;
@@ -355,10 +388,11 @@
   BudgetAccount *a = s->account;
 
   *change = plan_change (s, timers_now_ms (s->options.timers));
-  if (*change == 0 && s->n_open == 0 && s->reclaim == 0
+  if (*change == 0 && s->n_open == 0 && s->reclaim == 0 && !s->put_back_due
       && !(a->keeper && budget_account_should_write (a)))
     return false;
   *next = budget_account_next_row (a, *change);
+  next->parent = s->row_version;
   *host = (BudgetHostRow){ .incarnation = s->options.incarnation,
                            .seq = s->next_seq++,
                            .granted = a->granted + *change,
@@ -408,6 +442,42 @@
   return s;
 }
 
+/* A row into which others may not have put yet what they know tells less than what was known before. */
+static bool
+knows_row (const Supply *s)
+{
+  const BudgetRow *row = &s->account->row;
+
+  return s->account->known && s->row_version > 0
+         && put_back_is_settled (row, row->era, s->store_time_ms);
+}
+
+void
+supply_went_back (Supply *s)
+{
+  for (size_t i = 0; i < s->n_open; i++)
+    resolve_void (s, &s->open[i]);
+  s->n_open = 0;
+  if (knows_row (s))
+    s->mine = (RowKnowledge){ .era = s->account->row.era,
+                              .version = s->row_version,
+                              .granted = s->account->row.granted + s->reclaim };
+  log_event (LOG_LEVEL_NOTICE, "budget", "went_back",
+             "account=%s known_version=%" PRId64 " known_granted=%" PRId64 " held=%" PRId64,
+             s->options.account, s->mine.version, s->mine.granted, s->account->granted);
+  s->went_back = true;
+  s->account->known = false;
+  s->row_version = 0;
+  s->host_row_version = 0;
+  s->reclaim = 0;
+}
+
+bool
+supply_is_behind (const Supply *s)
+{
+  return s->went_back && (!s->account->known || s->put_back_due);
+}
+
 void
 supply_close (Supply *s)
 {
--- a/src/budget/supply.h
+++ b/src/budget/supply.h
@@ -38,6 +38,12 @@
 /** From now on everything that is not reserved is given back. */
 void supply_close (Supply *supply);
 
+/** The store went back: what is known of the row is put into it again. Under the lock. */
+void supply_went_back (Supply *supply);
+
+/** @return whether that is still to be done. */
+bool supply_is_behind (const Supply *supply);
+
 /** Has the rows of all hosts read again soon, because requests found too little. */
 void supply_want_totals (Supply *supply);
 
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -91,6 +91,13 @@
          || strcmp (s->service, r->service) != 0;
 }
 
+/* An entry of a start before the one that is known: from a store that went back, or late. */
+static bool
+is_older_start (const Server *s, const ServerRecord *r)
+{
+  return s->born_ms > 0 && r->born_ms > 0 && r->born_ms < s->born_ms;
+}
+
 void
 dispatch_server_changed (Dispatch *d, const ServerRecord *r, int64_t now_ms)
 {
@@ -100,6 +107,13 @@
 
   pthread_mutex_lock (&d->lock);
   s = g_hash_table_lookup (d->servers, r->id);
+  if (s && is_older_start (s, r))
+    {
+      log_event (LOG_LEVEL_NOTICE, "dispatch", "older_start_ignored", "server=%s address=%s", r->id,
+                 r->address);
+      pthread_mutex_unlock (&d->lock);
+      return;
+    }
   if (s && is_other_start (s, r))
     {
       retire (d, s);
--- a/src/fleet/registry.c
+++ b/src/fleet/registry.c
@@ -12,6 +12,9 @@
 /* Each host writes and reads once in this time, or in a large fleet once in ROUND_MS_PER_HOST for each host:
  * what a host reads then stays the same a second, however many rows there are. More often for the first
  * rounds, when hosts that start together do not see each other yet. */
+/* Hosts whose rows were lost when the store went back have written them again by then. */
+#define WRITTEN_AGAIN_MS 3000
+
 #define ROUND_MS          8000
 #define ROUND_MS_PER_HOST 100
 #define FIRST_ROUND_MS    1500
@@ -42,6 +45,8 @@
   int rounds;
   bool leaving;
   bool changed; /* since the last list */
+  StoreEraListener listener;
+  int64_t back_ms; /* when the store last went back; 0: never */
 };
 
 static void
@@ -150,8 +155,6 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (reply->has_more)
-    return;
   g_hash_table_iter_init (&iter, r->seen);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -166,6 +169,13 @@
     }
 }
 
+/* Rows that were written since the copy are missing until their hosts write them again. */
+static bool
+is_complete (const Registry *r, const StoreReply *reply, int64_t now)
+{
+  return !reply->has_more && (r->back_ms == 0 || now - r->back_ms >= WRITTEN_AGAIN_MS);
+}
+
 static void
 list_hosts (Registry *r)
 {
@@ -201,7 +211,8 @@
     return;
   for (size_t i = 0; i < reply->n_rows; i++)
     note_row (r, &reply->rows[i], now);
-  forget_withdrawn (r, reply);
+  if (is_complete (r, reply, now))
+    forget_withdrawn (r, reply);
   forget_old (r, now);
   if (r->changed)
     list_hosts (r);
@@ -285,9 +296,26 @@
   return r->hosts;
 }
 
+static void
+on_went_back (void *data, int64_t era)
+{
+  Registry *r = data;
+  GHashTableIter iter;
+  gpointer value;
+
+  (void)era;
+  r->back_ms = timers_now_ms (r->options.timers);
+  g_hash_table_iter_init (&iter, r->seen);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((Seen *)value)->version = 0;
+  if (!r->leaving)
+    announce (r);
+}
+
 static int
 registry_destroy (Registry *r)
 {
+  list_remove (&r->listener.node);
   g_hash_table_unref (r->seen);
   return 0;
 }
@@ -303,6 +331,8 @@
   r->options.operators = talloc_strdup (r, options->operators);
   r->options.peers = talloc_strdup (r, options->peers);
   r->seen = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_seen);
+  r->listener = (StoreEraListener){ .went_back = on_went_back, .data = r };
+  store_era_listen (&options->store->era, &r->listener);
   talloc_set_destructor (r, registry_destroy);
   timers_start (options->timers, r, 0, on_round, r);
   return r;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -8,6 +8,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "store/store_era.h"
+
 typedef struct Store Store;
 typedef struct StoreCall StoreCall;
 
@@ -70,9 +72,11 @@
 typedef enum
 {
   STORE_DONE,
-  STORE_CONFLICT,    /* a check did not hold; the rows are those of the checks as they are now */
-  STORE_REFUSED,     /* nothing was done */
-  STORE_UNKNOWN,     /* no answer: done, not done, or done later if the checks still hold then */
+  STORE_CONFLICT, /* a check did not hold; the rows are those of the checks as they are now */
+  STORE_REFUSED,  /* nothing was done */
+  /* No answer, or one over a change of the store's era: done, not done, or done later if the checks still
+   * hold then. */
+  STORE_UNKNOWN,
   STORE_HISTORY_GONE /* a feed: changes are missing, read the table again */
 } StoreResult;
 
@@ -101,6 +105,7 @@
 struct Store
 {
   const StoreOps *ops;
+  StoreEra era;
 };
 
 /** Each starts a call. @return a talloc object under @p ctx; freeing it drops the callback, not what
--- a/src/store/store_watch.c
+++ b/src/store/store_watch.c
@@ -15,12 +15,16 @@
 #define FIRST_RETRY_MS   50
 #define LONGEST_RETRY_MS 400
 
+/* Writers whose rows were lost when the store went back have written them again by then. */
+#define WRITTEN_AGAIN_MS 3000
+
 /* A read after a gap may show the table as it was some seconds before. */
 #define REMEMBER_REMOVED_MS 60000
 
 typedef struct
 {
   int64_t version;
+  int64_t era;        /* of the watch, when it was reported */
   int64_t removed_ms; /* when it was reported as removed; 0: it is there */
 } Known;
 
@@ -37,6 +41,11 @@
   int64_t pause_ms; /* after changes */
   bool synced;
   bool reading;
+  /* After the store went back. */
+  StoreEraListener listener;
+  bool wants_floor;
+  int64_t era;   /* how often it did */
+  int64_t floor; /* newer rows were written in this era; INT64_MAX: the store never went back */
 };
 
 static void read_page (StoreWatch *w);
@@ -48,17 +57,26 @@
   return g_strdup_printf ("%s\n%s", key->part, key->name);
 }
 
+/* Versions up to the floor mean the same in both eras, later ones do not. */
+static bool
+is_old (const StoreWatch *w, const Known *before, const StoreRow *row)
+{
+  if (before->era != w->era && row->version > w->floor)
+    return false;
+  return before->version >= row->version;
+}
+
 static void
 report_row (StoreWatch *w, const StoreRow *row)
 {
   char *id = row_id (&row->key);
   const Known *before = g_hash_table_lookup (w->known, id);
   bool was_there = before && !before->removed_ms;
-  Known now = { .version = row->version };
+  Known now = { .version = row->version, .era = w->era };
 
   if (w->seen)
     g_hash_table_add (w->seen, g_strdup (id));
-  if (before && before->version >= row->version)
+  if (before && is_old (w, before, row))
     {
       g_free (id);
       return;
@@ -104,7 +122,7 @@
       else if (!k->removed_ms && k->version <= w->read_version
                && !g_hash_table_contains (w->seen, id))
         {
-          *k = (Known){ w->read_version, now };
+          *k = (Known){ .version = w->read_version, .era = w->era, .removed_ms = now };
           g_ptr_array_add (gone, g_strdup (id));
         }
     }
@@ -113,6 +131,66 @@
   g_ptr_array_free (gone, TRUE);
 }
 
+/* --- Eras ------------------------------------------------------------------------------- */
+
+static void
+note_floor (StoreWatch *w, const StoreReply *reply)
+{
+  if (!w->wants_floor)
+    return;
+  w->wants_floor = false;
+  w->floor = w->options.rows_tell_age ? 0 : reply->version;
+}
+
+static void
+begin_reading (StoreWatch *w)
+{
+  w->reading = true;
+  w->read_version = 0;
+  TALLOC_FREE (w->page_from);
+  if (w->seen)
+    g_hash_table_unref (w->seen);
+  w->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+/* By now a row that is still missing was not lost with the copy: its writer is gone. */
+static void
+on_written_again (void *data)
+{
+  StoreWatch *w = data;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (w->reading)
+    {
+      timers_start (w->options.timers, w, WRITTEN_AGAIN_MS, on_written_again, w);
+      return;
+    }
+  g_hash_table_iter_init (&iter, w->known);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Known *k = value;
+
+      if (!k->removed_ms && k->era != w->era && k->version > w->floor)
+        k->version = w->floor;
+    }
+  begin_reading (w);
+}
+
+/* The call on its way ends as unknown, and reading goes on from there. */
+static void
+on_went_back (void *data, int64_t era)
+{
+  StoreWatch *w = data;
+
+  (void)era;
+  w->era++;
+  w->wants_floor = true;
+  w->steady_since_ms = INT64_MAX;
+  begin_reading (w);
+  timers_start (w->options.timers, w, WRITTEN_AGAIN_MS, on_written_again, w);
+}
+
 /* --- Failures ---------------------------------------------------------------------------- */
 
 static void
@@ -156,12 +234,7 @@
 static void
 start_reading (StoreWatch *w)
 {
-  w->reading = true;
-  w->read_version = 0;
-  TALLOC_FREE (w->page_from);
-  if (w->seen)
-    g_hash_table_unref (w->seen);
-  w->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  begin_reading (w);
   read_page (w);
 }
 
@@ -196,6 +269,7 @@
       return;
     }
   heard (w);
+  note_floor (w, reply);
   /* Changes between two pages come again through the feed, which starts at the first page. */
   if (!w->read_version)
     w->read_version = reply->version;
@@ -248,7 +322,9 @@
     w->version = reply->version;
   if (reply->n_rows > 0)
     settled (w);
-  if (reply->n_rows > 0 && w->pause_ms > 0)
+  if (w->reading)
+    read_page (w);
+  else if (reply->n_rows > 0 && w->pause_ms > 0)
     timers_start (w->options.timers, w, w->pause_ms, on_pause, w);
   else
     read_feed (w);
@@ -268,6 +344,7 @@
 static int
 watch_destroy (StoreWatch *w)
 {
+  list_remove (&w->listener.node);
   g_hash_table_unref (w->known);
   if (w->seen)
     g_hash_table_unref (w->seen);
@@ -285,6 +362,9 @@
     w->options.wait_ms = STORE_WATCH_WAIT_MS;
   w->retry_ms = FIRST_RETRY_MS;
   w->steady_since_ms = INT64_MAX;
+  w->floor = INT64_MAX;
+  w->listener = (StoreEraListener){ .went_back = on_went_back, .data = w };
+  store_era_listen (&w->options.store->era, &w->listener);
   talloc_set_destructor (w, watch_destroy);
   start_reading (w);
   return w;
--- a/src/store/store_watch.h
+++ b/src/store/store_watch.h
@@ -1,6 +1,7 @@
 /** @file
- * Follows one table: reads it whole, then its feed, and reads it again when history is missing. Control
- * loop only. */
+ * Follows one table: reads it whole, then its feed, and reads it again when history is missing. After the store
+ * went back it reads the table again as well: rows of the copy are older than what was reported, rows
+ * that were written since are not. Control loop only. */
 #pragma once
 
 #include "core/rng.h"
@@ -30,6 +31,7 @@
   const char *table;
   int64_t
       wait_ms; /* of one call for changes, after which a dead connection shows; 0: STORE_WATCH_WAIT_MS */
+  bool rows_tell_age; /* what reads the rows knows by itself which of two is newer */
   const StoreWatchEvents *events;
   void *data;
 } StoreWatchOptions;
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -83,6 +83,7 @@
 done
 # A fixed set of randomised runs, and each deliberate fault with the invariant that catches it.
 step "soak" build/release/soak --seed 1 --runs 2000 --jobs "$jobs"
+step "soak-drills" build/release/soak --drills --seed 1 --runs 1000 --jobs "$jobs"
 step "soak-faults" build/release/soak --faults --seed 1 --runs 200 --jobs "$jobs"
 step "soak-processes" build/release/procsoak --seed 1 --minutes 0.2
 for t in tests/process/*.sh; do
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -45,6 +45,12 @@
 /** From now on a small share of transactions meets the lie. */
 void fake_store_lie (FakeStore *store, FakeStoreLie lie);
 
+/** From now on the store states an era, and keeps a copy of how it is now. */
+void fake_store_keep_copy (FakeStore *store);
+
+/** Comes back from the copy, in the next era. Calls on their way meet the store as it is then. */
+void fake_store_go_back (FakeStore *store);
+
 /** Forgets changes up to now, so that feeds from before fail with missing history. */
 void fake_store_compact (FakeStore *store);
 
--- a/tests/fakes/row_table.c
+++ b/tests/fakes/row_table.c
@@ -101,6 +101,27 @@
   row->version = t->version;
 }
 
+RowTable *
+row_table_copy (const void *ctx, const RowTable *t)
+{
+  RowTable *copy = row_table_new (ctx);
+  GHashTableIter iter;
+  gpointer value;
+
+  copy->history_from = t->history_from;
+  g_hash_table_iter_init (&iter, t->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const TableRow *row = value;
+      StoreWrite write = { { row->table, row->part, row->name }, row->value, row->len };
+
+      copy->version = row->version;
+      write_row (copy, &write);
+    }
+  copy->version = t->version;
+  return copy;
+}
+
 bool
 row_table_apply (RowTable *t, const StoreTxn *txn)
 {
--- a/tests/fakes/row_table.h
+++ b/tests/fakes/row_table.h
@@ -39,6 +39,9 @@
 /** @return the version to check for: 0 if the row does not exist. */
 int64_t row_table_version_of (const RowTable *table, const StoreKey *key);
 
+/** @return a copy under @p ctx. */
+RowTable *row_table_copy (const void *ctx, const RowTable *table);
+
 /** @return rows of a part from a name on, by name; free it with g_ptr_array_free(). */
 GPtrArray *row_table_range (const RowTable *table, const char *name, const char *part,
                             const char *from);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -13,7 +13,8 @@
   uint64_t seed;
   uint64_t run;
   FakeStoreLie lie;
-  bool trace; /* print the events */
+  bool drills; /* the store goes back to copies; then no host is killed or cut off from the store */
+  bool trace;  /* print the events */
 } SoakOptions;
 
 typedef struct
--- a/tests/unit/test_budget_hosts.c
+++ b/tests/unit/test_budget_hosts.c
@@ -260,6 +260,75 @@
   talloc_free (w);
 }
 
+/* Uses up an account on all hosts. @return what was spent. */
+static Tokens
+use_up (BudgetWorld *w, int rounds)
+{
+  Tokens spent = 0;
+
+  for (int i = 0; i < rounds; i++)
+    {
+      BudgetClaim claim;
+
+      budget_world_claim (w, i % w->n_hosts, ACCOUNT, 5000, &claim);
+      budget_world_run (w, 120);
+      if (claim.reservation && claim.answered && claim.refused == ERR_NONE)
+        {
+          budget_world_settle (w, &claim, 5000);
+          spent += 5000;
+        }
+      else if (claim.reservation)
+        talloc_free (claim.reservation);
+    }
+  return spent;
+}
+
+/* Guards against a budget that is given out twice: after the store came back from a copy, what was drawn since the
+ * copy is free in the row, though hosts hold it or have used it. */
+static void
+what_was_drawn_since_the_copy_is_put_back (void)
+{
+  for (int at = 0; at < 60; at += 10)
+    {
+      BudgetWorld *w = budget_world_new (4, 1);
+      const Tokens limit = 500000;
+      Tokens spent;
+
+      fake_store_keep_copy (w->store);
+      budget_world_configure (w, ACCOUNT, limit, 1);
+      budget_world_run (w, 2000);
+      spent = use_up (w, at);
+      fake_store_keep_copy (w->store);
+      spent += use_up (w, 20);
+      fake_store_go_back (w->store);
+      spent += use_up (w, 200);
+      CU_ASSERT (spent <= limit);
+      CU_ASSERT (spent >= limit * 95 / 100);
+      talloc_free (w);
+    }
+}
+
+/* Guards against an account that nobody may draw from after the store went back. */
+static void
+an_account_serves_again_soon_after_the_store_went_back (void)
+{
+  BudgetWorld *w = budget_world_new (4, 1);
+  BudgetClaim claim;
+  Tokens held;
+
+  fake_store_keep_copy (w->store);
+  budget_world_configure (w, ACCOUNT, 1000000, 1);
+  budget_world_run (w, 2000);
+  held = budget_world_granted (w, ACCOUNT);
+  fake_store_go_back (w->store);
+  budget_world_run (w, 2500);
+  CU_ASSERT_EQUAL (budget_world_granted (w, ACCOUNT), held);
+  budget_world_claim (w, 0, ACCOUNT, 900000, &claim);
+  budget_world_run (w, 500);
+  CU_ASSERT (claim.answered && claim.refused == ERR_NONE);
+  talloc_free (w);
+}
+
 int
 main (void)
 {
@@ -275,6 +344,9 @@
     { "dead_keeper_is_passed_over", dead_keeper_is_passed_over },
     { "restarted_host_takes_back_without_a_request", restarted_host_takes_back_without_a_request },
     { "host_without_registry_keeps_nothing", host_without_registry_keeps_nothing },
+    { "what_was_drawn_since_the_copy_is_put_back", what_was_drawn_since_the_copy_is_put_back },
+    { "an_account_serves_again_soon_after_the_store_went_back",
+      an_account_serves_again_soon_after_the_store_went_back },
   };
 
   return harness_run ("budget_hosts", CASES, sizeof CASES / sizeof CASES[0]);
--- a/tests/unit/test_store_watch.c
+++ b/tests/unit/test_store_watch.c
@@ -298,6 +298,70 @@
   talloc_free (w);
 }
 
+/* --- The store goes back ---------------------------------------------------------------------- */
+
+/* The open call ends without a usable answer, because the store went back meanwhile. */
+static void
+go_back (World *w, int64_t era)
+{
+  store_era_note (&w->store.era, era);
+  fail (w, STORE_UNKNOWN);
+  run (w, 500);
+  CU_ASSERT_FALSE (w->is_feed);
+}
+
+/* Guards against a host that stands still until the store's versions have come to where they were, and against one
+ * that takes rows of the copy for news: a server that left or drains would be in use again. */
+static void
+only_what_was_written_since_is_news (void)
+{
+  World *w = world_new ();
+  StoreRow before[] = { row ("drains", 90, "draining"), row ("left", 40, "ready"),
+                        row ("joined", 95, "ready"), row ("ended", 96, "ready") };
+  StoreRow gone[] = { row ("left", 97, NULL) };
+  StoreRow copy[] = { row ("drains", 41, "ready"), row ("left", 40, "ready") };
+  StoreRow again[] = { row ("joined", 61, "ready"), row ("drains", 62, "draining") };
+
+  store_era_note (&w->store.era, 4);
+  answer (w, 96, before, 4, false);
+  answer (w, 97, gone, 1, false);
+  go_back (w, 5);
+  answer (w, 60, copy, 2, false);
+  CU_ASSERT_STRING_EQUAL (w->log, "");
+  CU_ASSERT_FALSE (store_watch_is_steady (w->watch));
+  CU_ASSERT (w->is_feed);
+  answer (w, 62, again, 2, false);
+  CU_ASSERT_STRING_EQUAL (w->log, "+joined=ready +drains=draining ");
+  /* What nobody has written again by now is gone. */
+  run (w, 4000);
+  answer (w, 62, NULL, 0, false);
+  CU_ASSERT_FALSE (w->is_feed);
+  answer (w, 62, again, 2, false);
+  CU_ASSERT_STRING_EQUAL (w->log, "-ended ");
+  talloc_free (w);
+}
+
+/* Guards against a call of the era before whose answer is used, and against an era that falls. */
+static void
+answers_over_a_change_of_the_era_are_void (void)
+{
+  StoreEra era = { 0 };
+
+  store_era_note (&era, 3);
+  CU_ASSERT (store_era_holds (&era, 3, 0));
+  CU_ASSERT (store_era_holds (&era, 3, 3));
+  CU_ASSERT (store_era_holds (&era, 0, 3));
+  store_era_note (&era, 2);
+  CU_ASSERT_EQUAL (era.now, 3);
+  CU_ASSERT_FALSE (store_era_holds (&era, 2, 3));
+  store_era_note (&era, 4);
+  CU_ASSERT_FALSE (store_era_holds (&era, 4, 3));
+  CU_ASSERT_EQUAL (store_era_parse ("7"), 7);
+  CU_ASSERT_EQUAL (store_era_parse ("7x"), 0);
+  CU_ASSERT_EQUAL (store_era_parse ("-1"), 0);
+  CU_ASSERT_EQUAL (store_era_parse (""), 0);
+}
+
 int
 main (void)
 {
@@ -313,6 +377,8 @@
     { "it_is_steady_only_after_a_while_without_failures",
       it_is_steady_only_after_a_while_without_failures },
     { "pauses_merge_changes", pauses_merge_changes },
+    { "only_what_was_written_since_is_news", only_what_was_written_since_is_news },
+    { "answers_over_a_change_of_the_era_are_void", answers_over_a_change_of_the_era_are_void },
     { "failures_are_followed_by_growing_pauses", failures_are_followed_by_growing_pauses },
   };
 
