Check a row of the era with each transaction on a budget

Ruled out: transactions on their way over the change (handled by the row's parent), hosts that do not put back (all did).

Change: the first transaction of an era writes one more row of the account; all transactions check its version. Stores that state no era see nothing new.

--- a/src/budget/budget_rows.h
+++ b/src/budget/budget_rows.h
@@ -9,7 +9,11 @@
 #define BUDGET_TABLE       "budgets"
 #define BUDGET_ACCOUNT_ROW "account"
 #define BUDGET_HOST_PREFIX "host:"
-#define BUDGET_ROW_BYTES   384
+
+/* Written by the first transaction of an era of the store, and checked by all: one that knows nothing of the era yet
+ * finds another version than it checks. */
+#define BUDGET_ERA_ROW   "era"
+#define BUDGET_ROW_BYTES 384
 
 /** Writes a row's value. @return its length. */
 size_t budget_row_write (const BudgetRow *row, char text[BUDGET_ROW_BYTES]);
--- a/src/budget/supply.c
+++ b/src/budget/supply.c
@@ -55,6 +55,8 @@
   bool put_back_due;
   int64_t store_time_ms; /* of the last answer */
   int64_t sent_era;      /* of the transaction on its way */
+  int64_t era_row_version;
+  bool begins_era; /* the next transaction is the first of the era */
 
   uint64_t next_seq;
   OpenTxn sent; /* the one on its way */
@@ -158,6 +160,7 @@
   host_row_name (s, own, sizeof own);
   s->row_version = 0;
   s->host_row_version = 0;
+  s->era_row_version = 0;
   s->reclaim = 0;
   memset (&s->account->row, 0, sizeof s->account->row);
   for (size_t i = 0; i < reply->n_rows; i++)
@@ -178,6 +181,8 @@
                          s->options.account, row->version);
             }
         }
+      else if (!strcmp (row->key.name, BUDGET_ERA_ROW))
+        s->era_row_version = row->version;
       else if (!strncmp (row->key.name, BUDGET_HOST_PREFIX, strlen (BUDGET_HOST_PREFIX)))
         {
           if (!strcmp (row->key.name, own))
@@ -188,6 +193,7 @@
     }
   drop_dead (s);
   s->store_time_ms = reply->time_ms;
+  s->begins_era = s->account->row.era < s->options.store->era.now;
   s->put_back_due = put_back (&s->account->row, s->options.store->era.now,
                               s->mine.version > 0 ? &s->mine : NULL, reply->time_ms);
   s->account->row.granted -= s->reclaim;
@@ -276,6 +282,9 @@
                    s->options.account, s->reclaim);
       s->reclaim = 0;
       s->put_back_due = false;
+      if (s->begins_era)
+        s->era_row_version = reply->version;
+      s->begins_era = false;
       resolve (s, &s->sent, true);
       /* They checked a version that this transaction has replaced. */
       resolve_all (s, 0);
@@ -345,10 +354,17 @@
   char host_text[BUDGET_ROW_BYTES];
   StoreKey account_key = { BUDGET_TABLE, s->options.account, BUDGET_ACCOUNT_ROW };
   StoreKey host_key = { BUDGET_TABLE, s->options.account, host_row_name (s, name, sizeof name) };
-  StoreCheck checks[] = { { account_key, s->row_version }, { host_key, s->host_row_version } };
+  StoreKey era_key = { BUDGET_TABLE, s->options.account, BUDGET_ERA_ROW };
+  StoreCheck checks[] = { { account_key, s->row_version },
+                          { host_key, s->host_row_version },
+                          { era_key, s->era_row_version } };
   StoreWrite writes[] = { { account_key, row_text, budget_row_write (next, row_text) },
-                          { host_key, host_text, budget_host_row_write (host, host_text) } };
-  StoreTxn txn = { .checks = checks, .n_checks = 2, .writes = writes, .n_writes = 2 };
+                          { host_key, host_text, budget_host_row_write (host, host_text) },
+                          { era_key, "{}", 2 } };
+  StoreTxn txn = { .checks = checks,
+                   .n_checks = next->era > 0 ? 3 : 2,
+                   .writes = writes,
+                   .n_writes = s->begins_era ? 3 : 2 };
 
   s->sent_era = s->options.store->era.now;
   s->sent = (OpenTxn){ host->seq, s->row_version, change };
@@ -469,6 +485,7 @@
   s->account->known = false;
   s->row_version = 0;
   s->host_row_version = 0;
+  s->era_row_version = 0;
   s->reclaim = 0;
 }
 
