--- a/src/store/store_era.c
+++ b/src/store/store_era.c
@@ -44,8 +44,8 @@
 
   errno = 0;
   era = strtoll (text, &end, 10);
-  if (end != text && !*end && errno == 0 && era > 0)
-    return era;
+  if (end != text && !*end && errno == 0 && era >= 0 && era < INT64_MAX)
+    return era + 1;
   log_event (LOG_LEVEL_WARNING, "store", "era_ignored", "value=\"%.40s\"", text);
   return 0;
 }
--- a/src/store/store_era.h
+++ b/src/store/store_era.h
@@ -11,7 +11,7 @@
 
 typedef struct
 {
-  int64_t now; /* 0: the store states none */
+  int64_t now; /* one more than the store states; 0: it states none */
   List listeners;
   bool has_listeners; /* the list is initialised */
 } StoreEra;
@@ -27,10 +27,11 @@
 /** Listeners are told in the order in which they were added. */
 void store_era_listen (StoreEra *era, StoreEraListener *listener);
 
-/** Takes over the era that an answer states; tells the listeners if it has risen. */
+/** Takes over the era of an answer, as store_era_parse() returns it; tells the listeners if it has risen. */
 void store_era_note (StoreEra *era, int64_t stated);
 
-/** @return the era in the text of a header, or 0 after a log line if it is no number above 0. */
+/** @return the era in the text of a header, one more than it states, or 0 after a log line if it is no number of
+ * eras. */
 int64_t store_era_parse (const char *text);
 
 /** @return whether an answer may be used: it is of this era, and so was its call (@p begun: the era then). */
