--- a/tests/standins/standin_store.c
+++ b/tests/standins/standin_store.c
@@ -24,6 +24,8 @@
   Loop *loop;
   HttpServer *server;
   RowTable *rows;
+  RowTable *copy; /* to go back to; NULL: none */
+  int64_t era;
   Rng rng;
   List feeds; /* of FeedCall */
   /* Faults. */
@@ -74,10 +76,12 @@
 send_answer (void *data)
 {
   Answer *a = data;
-  HttpHeader header = { "Content-Type", "application/json" };
+  char era[24];
+  HttpHeader headers[] = { { "Content-Type", "application/json" }, { "Store-Era", era } };
 
+  snprintf (era, sizeof era, "%lld", (long long)store.era);
   if (a->call)
-    http_call_answer (a->call, a->status, &header, 1, a->body, strlen (a->body));
+    http_call_answer (a->call, a->status, headers, 2, a->body, strlen (a->body));
   talloc_free (a);
 }
 
@@ -260,6 +264,27 @@
     row_table_compact (store.rows);
 }
 
+/* Comes back from the copy, in the next era. Who waits for changes waits for those since the copy. */
+static void
+go_back (void)
+{
+  talloc_free (store.rows);
+  store.rows = row_table_copy (NULL, store.copy);
+  store.era++;
+}
+
+static void
+drill (const json_t *json)
+{
+  if (json_is_true (json_object_get (json, "keep_copy")))
+    {
+      talloc_free (store.copy);
+      store.copy = row_table_copy (NULL, store.rows);
+    }
+  if (json_is_true (json_object_get (json, "go_back")) && store.copy)
+    go_back ();
+}
+
 static void
 put_row (const json_t *json)
 {
@@ -287,6 +312,8 @@
     set_faults (json);
   else if (!strcmp (target, "/admin/put"))
     put_row (json);
+  else if (!strcmp (target, "/admin/drill"))
+    drill (json);
   json_decref (json);
   json = json_pack ("{s:I,s:I,s:I}", "txns", (json_int_t)store.txns, "reads",
                     (json_int_t)store.reads, "version", (json_int_t)row_table_version (store.rows));
