Split what the store's answers mean from the calls of a supply

A move without a change of behaviour: supply_rows.c takes rows over, settles transactions and puts back, supply.c calls the store.

--- /dev/null
+++ b/src/budget/supply_impl.h
@@ -0,0 +1,63 @@
+/* The parts of a supply: supply.c (calls to the store, set-up, questions), supply_rows.c (what its answers mean). */
+#pragma once
+
+#include "budget/budget_rows.h"
+#include "budget/put_back.h"
+#include "budget/supply.h"
+
+/* Transactions without an answer. With this many, the next one changes nothing and needs no record: once
+ * it is done, the others cannot be done any more. */
+#define MAX_OPEN 8
+
+typedef struct
+{
+  uint64_t seq;
+  int64_t checked_version; /* of the account's row: it can be done only while this is current */
+  Tokens change;
+} OpenTxn;
+
+struct Supply
+{
+  SupplyOptions options;
+  BudgetAccount *account;
+  bool closing;
+  bool want_totals;
+
+  StoreCall *call;
+  Timer *backoff;
+  int64_t backoff_ms;
+  int conflicts;
+  bool connected;
+
+  int64_t row_version;
+  int64_t host_row_version;
+  Tokens spent_before; /* by earlier incarnations of this host */
+  Tokens reclaim;      /* granted to the last incarnation, which it cannot have used */
+  Tokens total_spent;
+  int64_t total_ms;
+  int64_t fresh_ms;
+
+  /* After the store went back. */
+  bool went_back;
+  RowKnowledge mine; /* of the row before; version 0: nothing */
+  bool put_back_due;
+  int64_t store_time_ms; /* of the last answer */
+  int64_t sent_era;      /* of the transaction on its way */
+  int64_t era_row_version;
+  bool begins_era; /* the next transaction is the first of the era */
+
+  uint64_t next_seq;
+  OpenTxn sent; /* the one on its way */
+  BudgetRow sent_row;
+  OpenTxn open[MAX_OPEN];
+  size_t n_open;
+};
+
+/* supply_rows.c; under the lock. */
+
+/* @return the name of this host's row in @p name. */
+const char *supply_host_row_name (const Supply *s, char *name, size_t size);
+/* Takes over the rows of an answer; rows that are not in it do not exist. */
+void supply_take_rows (Supply *s, const StoreReply *reply, bool whole_part);
+/* Takes over the outcome of the transaction on its way. */
+void supply_finish_txn (Supply *s, const StoreReply *reply);
