Draw at once where the store has not gone back lately

Change: a host that has heard of the era for 1.5 s need not wait for a row; what others know has been put back by then. A host that starts finds rows of the era settled. test a_store_that_states_its_era_is_drawn_from_at_once failed before.

--- a/src/budget/put_back.c
+++ b/src/budget/put_back.c
@@ -33,7 +33,9 @@
 }
 
 bool
-put_back_is_settled (const BudgetRow *row, int64_t era, int64_t store_ms)
+put_back_is_settled (const BudgetRow *row, int64_t era, int64_t store_ms, int64_t heard_ms)
 {
-  return era == 0 || (row->era == era && store_ms - row->put_back_ms >= PUT_BACK_MS);
+  if (era == 0 || heard_ms >= PUT_BACK_MS)
+    return true;
+  return row->era == era && store_ms - row->put_back_ms >= PUT_BACK_MS;
 }
--- a/src/budget/put_back.h
+++ b/src/budget/put_back.h
@@ -28,5 +28,6 @@
  * NULL if this host knows nothing. @return whether it has changed and has to be written. */
 bool put_back (BudgetRow *row, int64_t era, const RowKnowledge *mine, int64_t store_ms);
 
-/** @return whether tokens may be drawn by a row of @p era. */
-bool put_back_is_settled (const BudgetRow *row, int64_t era, int64_t store_ms);
+/** @return whether hosts have had time to put back what they know into a row of @p era: since it was first written, or
+ * since this host heard of the era, @p heard_ms ago. */
+bool put_back_is_settled (const BudgetRow *row, int64_t era, int64_t store_ms, int64_t heard_ms);
--- a/src/budget/supply.c
+++ b/src/budget/supply.c
@@ -139,14 +139,6 @@
   s->call = store_txn (s->options.store, s, &txn, on_txn, s);
 }
 
-/* The other hosts may not have put back yet what they know. */
-static bool
-may_draw (const Supply *s, int64_t now_ms)
-{
-  return put_back_is_settled (&s->account->row, s->options.store->era.now,
-                              s->store_time_ms + now_ms - s->fresh_ms);
-}
-
 /* What to draw, or, below zero, to give back. A host gives nothing back to a store that does not answer: the
  * tokens would wait in the transaction while requests here need them. */
 static Tokens
@@ -157,7 +149,7 @@
                       ? -a->balance
                       : budget_account_change (a, s->options.policy, now_ms);
 
-  if (s->n_open == MAX_OPEN || (change > 0 && !may_draw (s, now_ms)))
+  if (s->n_open == MAX_OPEN || (change > 0 && !supply_is_settled (s)))
     return 0;
   if (change < 0 && ceilings_is_stalled (s->options.ceilings, now_ms))
     return 0;
--- a/src/budget/supply_impl.h
+++ b/src/budget/supply_impl.h
@@ -41,6 +41,7 @@
   bool went_back;
   RowKnowledge mine; /* of the row before; version 0: nothing */
   bool put_back_due;
+  bool row_settled;      /* as last read or written: others had put back what they knew */
   int64_t store_time_ms; /* of the last answer */
   int64_t sent_era;      /* of the transaction on its way */
   int64_t era_row_version;
@@ -59,5 +60,7 @@
 const char *supply_host_row_name (const Supply *s, char *name, size_t size);
 /* Takes over the rows of an answer; rows that are not in it do not exist. */
 void supply_take_rows (Supply *s, const StoreReply *reply, bool whole_part);
+/* @return whether others have had time to put back what they know, by now. */
+bool supply_is_settled (const Supply *s);
 /* Takes over the outcome of the transaction on its way. */
 void supply_finish_txn (Supply *s, const StoreReply *reply);
--- a/src/budget/supply_rows.c
+++ b/src/budget/supply_rows.c
@@ -63,6 +63,16 @@
   s->n_open = kept;
 }
 
+bool
+supply_is_settled (const Supply *s)
+{
+  const StoreEra *era = &s->options.store->era;
+  int64_t now = timers_now_ms (s->options.timers);
+
+  return put_back_is_settled (&s->account->row, era->now, s->store_time_ms + now - s->fresh_ms,
+                              now - era->since_ms);
+}
+
 /* The row of the last incarnation, which is gone: its process ended before this one began. */
 static void
 take_last (Supply *s, const BudgetHostRow *row)
@@ -138,6 +148,7 @@
   s->account->row.granted -= s->reclaim;
   s->account->known = true;
   s->fresh_ms = now;
+  s->row_settled = supply_is_settled (s);
   if (!whole_part)
     return;
   s->total_spent = total + s->spent_before + s->account->spent - s->account->told;
@@ -162,6 +173,7 @@
                    s->options.account, s->reclaim);
       s->reclaim = 0;
       s->put_back_due = false;
+      s->row_settled = supply_is_settled (s);
       if (s->begins_era)
         s->era_row_version = reply->version;
       s->begins_era = false;
@@ -189,23 +201,14 @@
 
 /* --- Eras of the store ------------------------------------------------------------------- */
 
-/* A row into which others may not have put yet what they know tells less than what was known before. */
-static bool
-knows_row (const Supply *s)
-{
-  const BudgetRow *row = &s->account->row;
-
-  return s->account->known && s->row_version > 0
-         && put_back_is_settled (row, row->era, s->store_time_ms);
-}
-
 void
 supply_went_back (Supply *s)
 {
   for (size_t i = 0; i < s->n_open; i++)
     resolve_void (s, &s->open[i]);
   s->n_open = 0;
-  if (knows_row (s))
+  /* A row into which others may not have put yet what they know tells less than what was known before. */
+  if (s->account->known && s->row_version > 0 && s->row_settled)
     s->mine = (RowKnowledge){ .era = s->account->row.era,
                               .version = s->row_version,
                               .granted = s->account->row.granted + s->reclaim };
--- a/src/store/store_era.c
+++ b/src/store/store_era.c
@@ -16,13 +16,14 @@
 }
 
 void
-store_era_note (StoreEra *e, int64_t stated)
+store_era_note (StoreEra *e, int64_t stated, int64_t now_ms)
 {
   int64_t before = e->now;
 
   if (stated <= e->now)
     return;
   e->now = stated;
+  e->since_ms = now_ms;
   if (before == 0)
     return;
   log_event (LOG_LEVEL_WARNING, "store", "went_back", "era=%" PRId64 " before=%" PRId64, e->now,
--- a/src/store/store_era.h
+++ b/src/store/store_era.h
@@ -11,7 +11,8 @@
 
 typedef struct
 {
-  int64_t now; /* one more than the store states; 0: it states none */
+  int64_t now;      /* one more than the store states; 0: it states none */
+  int64_t since_ms; /* when it was first heard, by the loop's clock */
   List listeners;
   bool has_listeners; /* the list is initialised */
 } StoreEra;
@@ -28,7 +29,7 @@
 void store_era_listen (StoreEra *era, StoreEraListener *listener);
 
 /** Takes over the era of an answer, as store_era_parse() returns it; tells the listeners if it has risen. */
-void store_era_note (StoreEra *era, int64_t stated);
+void store_era_note (StoreEra *era, int64_t stated, int64_t now_ms);
 
 /** @return the era in the text of a header, one more than it states, or 0 after a log line if it is no number of
  * eras. */
--- a/tests/unit/test_budget_hosts.c
+++ b/tests/unit/test_budget_hosts.c
@@ -329,6 +329,34 @@
   talloc_free (w);
 }
 
+/* Guards against an account that is new, or a host that starts, and is refused although the store has not gone
+ * back for long. */
+static void
+a_store_that_states_its_era_is_drawn_from_at_once (void)
+{
+  BudgetWorld *w = budget_world_new (2, 1);
+  BudgetClaim claim;
+
+  fake_store_keep_copy (w->store);
+  budget_world_run (w, 2000);
+  budget_world_configure (w, ACCOUNT, 1000000, 1);
+  budget_world_claim (w, 0, ACCOUNT, 1000, &claim);
+  budget_world_run (w, 300);
+  CU_ASSERT (claim.answered && claim.refused == ERR_NONE);
+  budget_world_run (w, 2000);
+  for (int i = 0; i < 2; i++)
+    budget_world_kill (w, i);
+  budget_world_run (w, 5000);
+  for (int i = 0; i < 2; i++)
+    budget_world_start (w, i);
+  budget_world_configure (w, ACCOUNT, 1000000, 1);
+  budget_world_run (w, 100);
+  budget_world_claim (w, 1, ACCOUNT, 1000, &claim);
+  budget_world_run (w, 300);
+  CU_ASSERT (claim.answered && claim.refused == ERR_NONE);
+  talloc_free (w);
+}
+
 int
 main (void)
 {
@@ -345,6 +373,8 @@
     { "restarted_host_takes_back_without_a_request", restarted_host_takes_back_without_a_request },
     { "host_without_registry_keeps_nothing", host_without_registry_keeps_nothing },
     { "what_was_drawn_since_the_copy_is_put_back", what_was_drawn_since_the_copy_is_put_back },
+    { "a_store_that_states_its_era_is_drawn_from_at_once",
+      a_store_that_states_its_era_is_drawn_from_at_once },
     { "an_account_serves_again_soon_after_the_store_went_back",
       an_account_serves_again_soon_after_the_store_went_back },
   };
