dispatch, platform: record and log the limit that a server names

The logs could not tell whether a host knew of a server's limit, so that "no host reads it" and "each host keeps to it alone" looked the same. The header is now decoded in platform/ into a LimitStatement, and a change of a server's limit is logged (dispatch server_limit: server, rate, previous rate, requests in flight, source); malformed values are logged and counted. Nothing is decided by it yet.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -11,6 +11,7 @@
 #include "core/err.h"
 #include "core/tokens.h"
 #include "dispatch/drain_set.h"
+#include "dispatch/limit_statement.h"
 #include "dispatch/retry_budget.h"
 #include "dispatch/server_record.h"
 
@@ -122,6 +123,9 @@
 /** The response asks this host to send the server no requests for @p ms. */
 void assignment_report_pause (Assignment *assignment, int64_t ms, int64_t now_ms);
 
+/** The response states a limit of the server, or that it has none. */
+void assignment_report_limit (Assignment *assignment, LimitStatement statement, int64_t now_ms);
+
 typedef enum
 {
   ASSIGNMENT_COMPLETED,   /* complete response with a status below 500 */
--- a/src/dispatch/server.h
+++ b/src/dispatch/server.h
@@ -59,7 +59,9 @@
   int64_t backoff_until_ms; /* after connect failures; chosen before then only as a last resort */
 
   /* Requested by the server. */
-  int64_t pause_until_ms; /* until then this host sends it no requests */
+  int64_t pause_until_ms;      /* until then this host sends it no requests */
+  double limit_requests_per_s; /* that it accepts from all hosts together; 0: no limit */
+  int64_t limit_stated_ms;     /* when it last stated that limit */
 };
 
 /** @return a talloc object under @p ctx. */
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -226,6 +226,8 @@
     assignment_report_load (a->assignment, a->head.running, a->head.waiting, a->head.slots, now);
   if (a->head.draining)
     assignment_report_draining (a->assignment, a->head.misdirected, now);
+  if (a->head.matches_request && !a->head.misdirected)
+    assignment_report_limit (a->assignment, a->head.limit, now);
   if (a->head.retry_after_ms > 0)
     assignment_report_pause (a->assignment, a->head.retry_after_ms, now);
 }
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -55,7 +55,8 @@
   bool misdirected;       /* another server has this address now */
   bool draining;          /* the server is about to stop */
   int64_t retry_after_ms; /* the server asks for no requests during this time; 0: not stated */
-  bool has_load;          /* running, waiting and slots were reported */
+  LimitStatement limit;
+  bool has_load; /* running, waiting and slots were reported */
   int running;
   int waiting;
   int slots;
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -7,6 +7,7 @@
 #include "fakes/fake_backend.h"
 #include "harness.h"
 #include "platform/platform_dialect.h"
+#include "platform/platform_limit.h"
 #include "platform/platform_servers.h"
 
 static const char SERVER[]
@@ -187,6 +188,51 @@
     CU_ASSERT_FALSE (dialect->ops->forwards_response_header (dialect, STRIPPED[i]));
 }
 
+static LimitStatement
+read_limit (const char *const *headers)
+{
+  FakeBackend *backend = fake_backend_new (NULL);
+  FakeBackendCall call = { .call = { &backend->backend }, .response_headers = headers };
+  LimitStatement statement = platform_limit_read (&call.call);
+
+  talloc_free (backend);
+  return statement;
+}
+
+/* Guards against a limit that is misread, and against a malformed one that is applied or taken for the end of
+ * an earlier one. */
+static void
+only_a_valid_limit_is_applied (void)
+{
+  static const char *const NO_LIMIT[] = { "X-Request-Id", "r", NULL };
+  static const char *const TWICE[] = { "Server-Limit", "2", "server-limit", "3", NULL };
+  static const char *const INVALID[]
+      = { "",    "none", "-1",    "+1",  "0",  "0.0",      "nan", "inf",
+          "1e9", "0x10", "1.5.2", "1,5", " 2", "100000.1", "." };
+  static const struct
+  {
+    const char *text;
+    double requests_per_s;
+  } VALID[] = { { "1.6", 1.6 }, { "12", 12 }, { "0.0001", 0.0001 }, { "100000", 100000 } };
+
+  CU_ASSERT_EQUAL (read_limit (NO_LIMIT).kind, LIMIT_NONE);
+  CU_ASSERT_EQUAL (read_limit (TWICE).kind, LIMIT_NOT_STATED);
+  for (size_t i = 0; i < sizeof INVALID / sizeof INVALID[0]; i++)
+    {
+      const char *headers[] = { "Server-Limit", INVALID[i], NULL };
+
+      CU_ASSERT_EQUAL (read_limit (headers).kind, LIMIT_NOT_STATED);
+    }
+  for (size_t i = 0; i < sizeof VALID / sizeof VALID[0]; i++)
+    {
+      const char *headers[] = { "Server-Limit", VALID[i].text, NULL };
+      LimitStatement statement = read_limit (headers);
+
+      CU_ASSERT_EQUAL (statement.kind, LIMIT_NAMED);
+      CU_ASSERT_DOUBLE_EQUAL (statement.requests_per_s, VALID[i].requests_per_s, 1e-9);
+    }
+}
+
 int
 main (void)
 {
@@ -199,6 +245,7 @@
       request_carries_its_server_account_and_deadline },
     { "hop_by_hop_and_load_headers_are_not_forwarded",
       hop_by_hop_and_load_headers_are_not_forwarded },
+    { "only_a_valid_limit_is_applied", only_a_valid_limit_is_applied },
   };
 
   return harness_run ("platform", CASES, sizeof CASES / sizeof CASES[0]);
