--- a/src/core/err.c
+++ b/src/core/err.c
@@ -24,6 +24,7 @@
   [ERR_BUDGET_UNREACHABLE] = { "budget_unreachable", 503, OUTCOME_NOT_RUN, true },
   [ERR_BUDGET_HELD] = { "budget_held", 503, OUTCOME_NOT_RUN, true },
   [ERR_OVERLOADED] = { "overloaded", 503, OUTCOME_NOT_RUN, true },
+  [ERR_SERVER_LIMITS] = { "server_limits", 503, OUTCOME_NOT_RUN, true },
   [ERR_NO_SERVER] = { "no_server", 503, OUTCOME_NOT_RUN, true },
   [ERR_SERVER_DRAINING] = { "server_leaving", 503, OUTCOME_NOT_RUN, true },
   [ERR_STOP_PLANNED] = { "stop_planned", 503, OUTCOME_NOT_RUN, true },
--- a/src/core/err.h
+++ b/src/core/err.h
@@ -30,6 +30,7 @@
   ERR_BUDGET_HELD, /* the remaining tokens are granted to other hosts or reserved by open requests */
   /* Admission and routing. */
   ERR_OVERLOADED,
+  ERR_SERVER_LIMITS, /* the usable servers have stated limits, and this host has used its shares of them */
   ERR_NO_SERVER,
   ERR_SERVER_DRAINING,
   ERR_STOP_PLANNED,
--- a/src/dispatch/assignments.c
+++ b/src/dispatch/assignments.c
@@ -21,6 +21,12 @@
   return a->server->address;
 }
 
+AssignmentLimits
+assignment_limits (const Assignment *a)
+{
+  return a->limits;
+}
+
 double
 assignment_expected_first_event_ms (const Assignment *a)
 {
@@ -150,32 +156,6 @@
   pthread_mutex_unlock (&d->lock);
 }
 
-static void
-log_limit (const Server *s, double before, const char *source)
-{
-  log_event (LOG_LEVEL_INFO, "dispatch", "server_limit",
-             "server=%s service=%s per_s=%.3f before=%.3f in_flight=%d source=%s", s->id,
-             s->service, s->limit_requests_per_s, before, s->in_flight, source);
-}
-
-void
-assignment_report_limit (Assignment *a, LimitStatement statement, int64_t now_ms)
-{
-  Dispatch *d = a->dispatch;
-  Server *s = a->server;
-  double before;
-
-  if (statement.kind == LIMIT_NOT_STATED)
-    return;
-  pthread_mutex_lock (&d->lock);
-  before = s->limit_requests_per_s;
-  s->limit_requests_per_s = statement.requests_per_s;
-  s->limit_stated_ms = now_ms;
-  if (s->limit_requests_per_s != before)
-    log_limit (s, before, "answer");
-  pthread_mutex_unlock (&d->lock);
-}
-
 void
 assignment_end (Assignment *a, AssignmentResult result, int64_t now_ms)
 {
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -19,6 +19,11 @@
 #define CONNECTION_SHARE 0.85
 #define MIN_CONNECTIONS  2 /* of one host to one server */
 
+/* Retry-After if only limits of servers keep a request from them: spread, so that the requests do not come back
+ * together. */
+#define LIMIT_RETRY_MS        500
+#define LIMIT_RETRY_SPREAD_MS 1000
+
 /* --- Choice ------------------------------------------------------------------------------ */
 
 static bool
@@ -37,7 +42,7 @@
 
   if (service->connection_limit <= 0)
     return INT32_MAX;
-  share = (int)(service->connection_limit * CONNECTION_SHARE / (d->hosts > 0 ? d->hosts : 1));
+  share = (int)(service->connection_limit * CONNECTION_SHARE / n_hosts (d));
   return share > MIN_CONNECTIONS ? share : MIN_CONNECTIONS;
 }
 
@@ -61,7 +66,9 @@
   const Server *affinity;
   int eligible; /* not draining and not tried; includes at_limit, paused and those in backoff */
   int at_limit; /* have as many requests of this host as its share of the connections */
-  int paused;   /* have asked this host for a pause */
+  int limited;  /* this host has used its share of their limits */
+  const Server *a_limited; /* one of these */
+  int paused;              /* have asked this host for a pause */
   int64_t paused_until_ms; /* the earliest end of a pause */
 } Candidates;
 
@@ -103,13 +110,23 @@
     c->paused_until_ms = s->pause_until_ms;
 }
 
-/* Servers in backoff after a failed connect are chosen only if there is no other. */
+static void
+count_limited (Dispatch *d, Candidates *c, const Server *s)
+{
+  c->limited++;
+  c->a_limited = s;
+  counter_add (d->limit_avoided, 1);
+}
+
+/* Servers in backoff after a failed connect are chosen only if there is no other. A usable server that is due to
+ * show whether its limit is still in force goes first. */
 static Server *
 choose_server (Dispatch *d, const ServerPool *p, const DispatchQuery *q, Candidates *c)
 {
   int share = connection_share (d, q->service);
   const Server *affinity = cost_affinity_server (&p->servers, q);
   Server *fallback = NULL;
+  Server *due = NULL;
   double fallback_cost = 0;
 
   c->affinity = affinity;
@@ -117,6 +134,7 @@
   for (ListNode *n = list_first (&p->servers); n; n = list_next (&p->servers, n))
     {
       Server *s = LIST_ENTRY (n, Server, node);
+      LimitState limit;
       double cost;
 
       if (s->draining || was_tried (s, q))
@@ -132,6 +150,14 @@
           c->at_limit++;
           continue;
         }
+      limit = check_limit (d, s, q->now_ms);
+      if (limit == LIMIT_REACHED)
+        {
+          count_limited (d, c, s);
+          continue;
+        }
+      if (limit == LIMIT_DUE && !q->is_retry && server_is_usable (s, q->now_ms))
+        due = s;
       cost = policy_cost (d, p, s, q, affinity);
       if (!server_is_usable (s, q->now_ms))
         {
@@ -146,9 +172,21 @@
     }
   if (!strcmp (d->options.policy, "two_choices"))
     keep_less_loaded (c, q->now_ms);
+  if (due)
+    return due;
   return c->best ? c->best : fallback;
 }
 
+static AssignmentLimits
+limits_of_choice (const Candidates *c, const Server *chosen, int64_t now_ms)
+{
+  const Server *s = chosen->limit.requests_per_s > 0 || !c->a_limited ? chosen : c->a_limited;
+
+  return (AssignmentLimits){ .avoided = c->limited,
+                             .requests_per_s = s->limit.requests_per_s,
+                             .age_ms = now_ms - s->limit.stated_ms };
+}
+
 static int
 assignment_destroy (Assignment *a)
 {
@@ -159,8 +197,9 @@
 
 static Assignment *
 assignment_new (Dispatch *d, const void *ctx, ServerPool *p, Server *s, const DispatchQuery *q,
-                const Server *affinity)
+                const Candidates *c)
 {
+  const Server *affinity = c->affinity;
   Assignment *a = talloc_zero (ctx, Assignment);
 
   a->dispatch = d;
@@ -170,6 +209,8 @@
   a->is_engine = q->service->is_engine;
   a->prefill_tokens = a->is_engine ? cost_prefill_tokens (s, q, d->prefixes, affinity) : 0;
   a->expected_first_event_ms = cost_first_event_ms (s, q, &p->latency, d->prefixes, affinity);
+  a->limits = limits_of_choice (c, s, q->now_ms);
+  server_limit_take (&s->limit, q->now_ms);
   idle_connections_take (&s->idle_connections, q->now_ms);
   s->in_flight++;
   s->awaiting_first_event++;
@@ -183,13 +224,26 @@
   return a;
 }
 
+static ErrKind
+pick_error_kind (const Candidates *c)
+{
+  if (c->limited > 0)
+    return ERR_SERVER_LIMITS;
+  return c->eligible ? ERR_OVERLOADED : ERR_NO_SERVER;
+}
+
 static void
-set_pick_error (const DispatchQuery *q, const Candidates *c, Err *err)
+set_pick_error (Dispatch *d, const DispatchQuery *q, const Candidates *c, Err *err)
 {
-  err_set (err, c->eligible ? ERR_OVERLOADED : ERR_NO_SERVER,
-           "service %s: %d servers, %d of them full, %d want nothing for now", q->service->name,
-           c->eligible, c->at_limit, c->paused);
-  if (c->paused > 0)
+  err_set (err, pick_error_kind (c),
+           "service %s: %d servers, %d of them full, %d want nothing for now, %d at their limits "
+           "(one: %.3f a second, stated %" PRId64 " ms ago)",
+           q->service->name, c->eligible, c->at_limit, c->paused, c->limited,
+           c->a_limited ? c->a_limited->limit.requests_per_s : 0,
+           c->a_limited ? q->now_ms - c->a_limited->limit.stated_ms : 0);
+  if (c->limited > 0)
+    err->retry_after_ms = LIMIT_RETRY_MS + (int64_t)rng_below (&d->rng, LIMIT_RETRY_SPREAD_MS);
+  else if (c->paused > 0)
     err->retry_after_ms = c->paused_until_ms - q->now_ms;
 }
 
@@ -205,16 +259,16 @@
   p = server_pool_get (d, q->service->name);
   s = choose_server (d, p, q, &c);
   if (!s)
-    set_pick_error (q, &c, err);
+    set_pick_error (d, q, &c, err);
   else if (q->is_retry
-           && !retry_budget_take (&p->retry_budget, &d->options.retries, d->hosts, q->now_ms))
+           && !retry_budget_take (&p->retry_budget, &d->options.retries, n_hosts (d), q->now_ms))
     err_set (err, ERR_RETRIES_EXHAUSTED, "service %s: the retry limits have no room",
              q->service->name);
   else
     {
       if (!q->is_retry)
         retry_budget_count_request (&p->retry_budget, &d->options.retries, q->now_ms);
-      a = assignment_new (d, ctx, p, s, q, c.affinity);
+      a = assignment_new (d, ctx, p, s, q, &c);
     }
   pthread_mutex_unlock (&d->lock);
   return a;
@@ -245,7 +299,9 @@
   d->servers = g_hash_table_new (g_str_hash, g_str_equal);
   d->drain_set = drain_set_new (d);
   d->prefixes = prefix_map_new (d, PREFIX_ENTRIES);
-  d->hosts = 1;
+  d->hosts = host_list_new (d, options->host);
+  d->limit_avoided = counter_get ("pond_server_limit_avoided_total", "",
+                                  "Servers not considered for a request because of their limits.");
   rng_seed (&d->rng, options->seed);
   talloc_set_destructor (d, dispatch_destroy);
   return d;
@@ -254,12 +310,13 @@
 static json_t *
 server_json (const Server *s, int64_t now_ms)
 {
-  return json_pack ("{s:s,s:s,s:s,s:i,s:i,s:f,s:f,s:f,s:b,s:b}", "server", s->id, "service",
+  return json_pack ("{s:s,s:s,s:s,s:i,s:i,s:f,s:f,s:f,s:b,s:b,s:f,s:I}", "server", s->id, "service",
                     s->service, "data_centre", s->data_centre, "in_flight", s->in_flight,
                     "awaiting_first", s->awaiting_first_event, "others",
                     server_other_requests (s, now_ms), "slowness", s->latency_factor, "failing",
-                    s->failure_rate, "leaving", s->draining, "usable",
-                    server_is_usable (s, now_ms));
+                    s->failure_rate, "leaving", s->draining, "usable", server_is_usable (s, now_ms),
+                    "limit_per_s", s->limit.requests_per_s, "limit_age_ms",
+                    (json_int_t)(s->limit.requests_per_s > 0 ? now_ms - s->limit.stated_ms : 0));
 }
 
 char *
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -11,6 +11,7 @@
 #include "core/err.h"
 #include "core/tokens.h"
 #include "dispatch/drain_set.h"
+#include "dispatch/host_list.h"
 #include "dispatch/limit_statement.h"
 #include "dispatch/retry_budget.h"
 #include "dispatch/server_record.h"
@@ -23,10 +24,12 @@
 
 typedef struct
 {
+  const char *host; /* name of this host */
   const char *data_centre;
   const char *region;
   RegionOfFn region_of;
   void *region_data;
+  int assumed_hosts; /* the number of hosts until dispatch_set_hosts() is called */
   RetryLimits retries;
   uint64_t seed;
   const char *policy; /* "cost", "least", "two_choices" or "random" */
@@ -34,6 +37,11 @@
    * yet. Any thread, without the lock; may be NULL. */
   void (*server_draining) (void *data, const ServerInstance *instance);
   void *server_draining_data;
+  /** Called when the other hosts are to be informed of what a server has stated: it has changed, or is to be
+   * repeated. Any thread, without the lock; may be NULL. */
+  void (*server_limited) (void *data, const ServerInstance *instance, LimitStatement statement,
+                          int64_t stated_ms);
+  void *server_limited_data;
 } DispatchOptions;
 
 /** @return a talloc object under @p ctx. */
@@ -50,12 +58,16 @@
 /** Another host reports that a server is draining. */
 void dispatch_server_draining (Dispatch *dispatch, const ServerInstance *instance, int64_t now_ms);
 
+/** Another host reports what a server has stated about its limit @p age_ms ago. */
+void dispatch_server_limited (Dispatch *dispatch, const ServerInstance *instance,
+                              LimitStatement statement, int64_t age_ms, int64_t now_ms);
+
 /** Removes servers whose grace period after an unconfirmed removal has ended, and outdated entries of
  * the drain set. */
 void dispatch_expire (Dispatch *dispatch, int64_t now_ms);
 
-/** Sets the number of hosts that share the connection and retry limits. */
-void dispatch_set_hosts (Dispatch *dispatch, int hosts);
+/** Sets the hosts that share the limits of servers, connections and retries. */
+void dispatch_set_hosts (Dispatch *dispatch, const ListedHost *hosts, size_t n);
 
 /** @return the number of usable servers of all services. */
 size_t dispatch_n_usable (Dispatch *dispatch, int64_t now_ms);
@@ -86,8 +98,9 @@
   size_t n_tried;
 } DispatchQuery;
 
-/** Chooses a server and counts the request as in flight there until assignment_end().
- * @return a talloc object under @p ctx, or NULL with ERR_NO_SERVER, ERR_OVERLOADED or
+/** Chooses a server and counts the request as in flight there until assignment_end(). The only place that takes
+ * from the limits of servers.
+ * @return a talloc object under @p ctx, or NULL with ERR_NO_SERVER, ERR_OVERLOADED, ERR_SERVER_LIMITS or
  * ERR_RETRIES_EXHAUSTED. */
 Assignment *dispatch_pick (Dispatch *dispatch, const void *ctx, const DispatchQuery *query,
                            Err *err);
@@ -95,6 +108,17 @@
 const char *assignment_server (const Assignment *assignment);
 const char *assignment_address (const Assignment *assignment);
 
+/** What limits of servers had to do with a choice. */
+typedef struct
+{
+  int avoided; /* servers that were not considered because of their limits */
+  double
+      requests_per_s; /* the limit of the chosen server, or else of one that was avoided; 0: none */
+  int64_t age_ms;     /* of the server's statement */
+} AssignmentLimits;
+
+AssignmentLimits assignment_limits (const Assignment *assignment);
+
 /** @return the milliseconds from sending to the first event, as estimated when the server was
  * chosen. */
 double assignment_expected_first_event_ms (const Assignment *assignment);
@@ -123,7 +147,8 @@
 /** The response asks this host to send the server no requests for @p ms. */
 void assignment_report_pause (Assignment *assignment, int64_t ms, int64_t now_ms);
 
-/** The response states a limit of the server, or that it has none. */
+/** The response states a limit of the server, or that it has none. The latter counts only if the request was sent
+ * after the server last stated a limit. */
 void assignment_report_limit (Assignment *assignment, LimitStatement statement, int64_t now_ms);
 
 typedef enum
--- a/src/dispatch/dispatch_impl.h
+++ b/src/dispatch/dispatch_impl.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "core/counter.h"
 #include "core/rng.h"
 #include "dispatch/cost.h"
 #include "dispatch/dispatch.h"
@@ -31,7 +32,8 @@
   GHashTable *servers; /* by id */
   PrefixMap *prefixes;
   DrainSet *drain_set;
-  int hosts; /* that share the connection and retry limits */
+  HostList *hosts; /* that share the limits of servers, connections and retries */
+  Counter *limit_avoided;
 };
 
 struct Assignment
@@ -45,6 +47,7 @@
   bool first_event_seen;
   bool closes_connection; /* the server closes the connection after the response */
   bool is_engine;         /* the server is an inference engine, which processes prompts */
+  AssignmentLimits limits;
 };
 
 /* The caller of these functions holds the lock. */
@@ -55,3 +58,8 @@
 /* @param source for the log: who has reported it. @return false if the instance was already in the
  * drain set. */
 bool mark_draining (Dispatch *d, Server *s, const char *source, int64_t now_ms);
+int n_hosts (const Dispatch *d);
+
+/* limits.c */
+/* @return whether this host may send the server a request, as far as the server's limit is concerned. */
+LimitState check_limit (Dispatch *d, Server *s, int64_t now_ms);
--- /dev/null
+++ b/src/dispatch/limits.c
@@ -0,0 +1,92 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include <talloc.h>
+
+#include "core/log.h"
+#include "dispatch/dispatch_impl.h"
+
+static void
+update_rank (const Dispatch *d, Server *s, int64_t now_ms)
+{
+  HostListServer server = { s->hash, s->data_centre, s->region };
+
+  server_limit_set_rank (&s->limit, host_list_count (d->hosts), host_list_rank (d->hosts, &server),
+                         host_list_version (d->hosts), now_ms);
+}
+
+LimitState
+check_limit (Dispatch *d, Server *s, int64_t now_ms)
+{
+  if (s->limit.requests_per_s <= 0)
+    return LIMIT_FREE;
+  if (s->limit.hosts_version != host_list_version (d->hosts))
+    update_rank (d, s, now_ms);
+  return server_limit_check (&s->limit, now_ms);
+}
+
+/* @return whether the limit has changed. */
+static bool
+apply_statement (const Dispatch *d, Server *s, LimitStatement statement, int64_t stated_ms,
+                 const char *source, int64_t now_ms)
+{
+  double before = s->limit.requests_per_s;
+
+  if (!server_limit_apply (&s->limit, statement, stated_ms, now_ms))
+    return false;
+  update_rank (d, s, now_ms);
+  log_event (
+      LOG_LEVEL_INFO, "dispatch", "server_limit",
+      "server=%s service=%s per_s=%.3f before=%.3f age_ms=%" PRId64 " in_flight=%d source=%s",
+      s->id, s->service, s->limit.requests_per_s, before, now_ms - stated_ms, s->in_flight, source);
+  return true;
+}
+
+static bool
+is_outdated (const Assignment *a, LimitStatement statement)
+{
+  return statement.kind == LIMIT_NONE && a->sent_ms < a->server->limit.stated_ms;
+}
+
+void
+assignment_report_limit (Assignment *a, LimitStatement statement, int64_t now_ms)
+{
+  Dispatch *d = a->dispatch;
+  Server *s = a->server;
+  void *tmp = talloc_new (NULL);
+  ServerInstance instance = { 0 };
+  bool report;
+
+  pthread_mutex_lock (&d->lock);
+  report
+      = !is_outdated (a, statement) && apply_statement (d, s, statement, now_ms, "answer", now_ms);
+  if (statement.kind == LIMIT_NAMED && server_limit_is_report_due (&s->limit, now_ms))
+    report = true;
+  if (report)
+    {
+      s->limit.told_ms = now_ms;
+      instance = (ServerInstance){ .id = talloc_strdup (tmp, s->id),
+                                   .address = talloc_strdup (tmp, s->address),
+                                   .started_ms = s->started_ms };
+    }
+  pthread_mutex_unlock (&d->lock);
+  if (report && d->options.server_limited)
+    d->options.server_limited (d->options.server_limited_data, &instance, statement, now_ms);
+  talloc_free (tmp);
+}
+
+void
+dispatch_server_limited (Dispatch *d, const ServerInstance *instance, LimitStatement statement,
+                         int64_t age_ms, int64_t now_ms)
+{
+  Server *s;
+
+  pthread_mutex_lock (&d->lock);
+  s = g_hash_table_lookup (d->servers, instance->id);
+  if (s && s->started_ms == instance->started_ms && !strcmp (s->address, instance->address))
+    {
+      apply_statement (d, s, statement, now_ms - (age_ms > 0 ? age_ms : 0), "host", now_ms);
+      s->limit.told_ms = now_ms;
+    }
+  pthread_mutex_unlock (&d->lock);
+}
--- a/src/dispatch/server.h
+++ b/src/dispatch/server.h
@@ -10,6 +10,7 @@
 #include "core/list.h"
 #include "core/tokens.h"
 #include "dispatch/idle_connections.h"
+#include "dispatch/server_limit.h"
 #include "dispatch/server_record.h"
 
 /** The distance of a server from this host. */
@@ -29,6 +30,7 @@
   char *service;
   char *address;
   char *data_centre;
+  char *region;  /* NULL: unknown */
   uint64_t hash; /* of the id, for rendezvous hashing */
   ServerLocality locality;
   int slots;
@@ -59,9 +61,8 @@
   int64_t backoff_until_ms; /* after connect failures; chosen before then only as a last resort */
 
   /* Requested by the server. */
-  int64_t pause_until_ms;      /* until then this host sends it no requests */
-  double limit_requests_per_s; /* that it accepts from all hosts together; 0: no limit */
-  int64_t limit_stated_ms;     /* when it last stated that limit */
+  int64_t pause_until_ms; /* until then this host sends it no requests */
+  ServerLimit limit;
 };
 
 /** @return a talloc object under @p ctx. */
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -73,6 +73,12 @@
   return is_new;
 }
 
+static const char *
+region_of (const Dispatch *d, const char *data_centre)
+{
+  return d->options.region_of ? d->options.region_of (d->options.region_data, data_centre) : NULL;
+}
+
 static ServerLocality
 locality_of (const Dispatch *d, const char *data_centre)
 {
@@ -80,7 +86,7 @@
 
   if (!strcmp (data_centre, d->options.data_centre))
     return LOCALITY_DATA_CENTRE;
-  region = d->options.region_of (d->options.region_data, data_centre);
+  region = region_of (d, data_centre);
   return region && !strcmp (region, d->options.region) ? LOCALITY_REGION : LOCALITY_REMOTE;
 }
 
@@ -126,6 +132,7 @@
     {
       s = server_new (d, r);
       s->locality = locality_of (d, r->data_centre);
+      s->region = talloc_strdup (s, region_of (d, r->data_centre));
       g_hash_table_insert (d->servers, s->id, s);
       list_append (&server_pool_get (d, r->service)->servers, &s->node);
       log_event (LOG_LEVEL_INFO, "dispatch", "server_seen",
@@ -195,13 +202,21 @@
 }
 
 void
-dispatch_set_hosts (Dispatch *d, int hosts)
+dispatch_set_hosts (Dispatch *d, const ListedHost *hosts, size_t n)
 {
   pthread_mutex_lock (&d->lock);
-  d->hosts = hosts;
+  host_list_set (d->hosts, hosts, n);
   pthread_mutex_unlock (&d->lock);
 }
 
+int
+n_hosts (const Dispatch *d)
+{
+  int n = host_list_count (d->hosts);
+
+  return n > 0 ? n : d->options.assumed_hosts > 0 ? d->options.assumed_hosts : 1;
+}
+
 size_t
 dispatch_n_usable (Dispatch *d, int64_t now_ms)
 {
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -24,7 +24,7 @@
 #define MAX_CONFIG_WAIT_MS    3000
 
 /* Number of hosts that are assumed to share the connection and retry limits until the registry has been read. */
-#define INITIAL_HOST_COUNT 12
+#define ASSUMED_HOST_COUNT 12
 
 /* Values of BudgetPolicy (budget/account.h), with which a host holds enough tokens to serve its own demand during
  * an outage of the store. */
@@ -57,8 +57,8 @@
 static const ConfigSourceEvents CONFIG_SOURCE_EVENTS
     = { on_catalog, host_on_server_changed, host_on_server_removed };
 
-static const char *
-region_of (void *data, const char *data_centre)
+const char *
+host_region_of (void *data, const char *data_centre)
 {
   const Host *h = data;
 
@@ -104,16 +104,20 @@
 make_dispatch_and_budgets (Host *h)
 {
   const Settings *s = h->settings;
-  DispatchOptions dispatch = { .data_centre = s->data_centre,
+  DispatchOptions dispatch = { .host = s->host_name,
+                               .data_centre = s->data_centre,
                                .region = s->region,
-                               .region_of = region_of,
+                               .region_of = host_region_of,
                                .region_data = h,
+                               .assumed_hosts = ASSUMED_HOST_COUNT,
                                .retries = { .ratio = s->retry_share,
                                             .window_ms = s->retry_window_ms,
                                             .allowance = s->retry_allowance },
                                .policy = s->balancing_policy,
                                .server_draining = host_on_server_draining,
                                .server_draining_data = h,
+                               .server_limited = host_on_server_limited,
+                               .server_limited_data = h,
                                .seed = h->incarnation };
   BudgetsOptions budgets
       = { .host = s->host_name,
@@ -134,7 +138,6 @@
   h->catalog = current_catalog_new (h);
   h->dispatch = dispatch_new (h, &dispatch);
   h->budgets = budgets_new (h, &budgets);
-  dispatch_set_hosts (h->dispatch, INITIAL_HOST_COUNT);
 }
 
 static bool
--- a/src/host/host_impl.h
+++ b/src/host/host_impl.h
@@ -50,11 +50,17 @@
   return timers_now_ms (loop_timers (h->loop));
 }
 
+/* host.c */
+/* @return the region of a data centre, or NULL if the settings do not name it. */
+const char *host_region_of (void *data, const char *data_centre);
+
 /* host_peers.c: messages between hosts.
  * Opens the port for messages of other hosts, if one is configured. @return false after a log line if that fails. */
 bool host_make_peer_transport (Host *h);
 /* Sends a message to all other hosts of the data centre. */
 void host_send_to_data_centre (Host *h, Pond__Envelope *envelope);
+/* Sends a message to all other hosts of the fleet. */
+void host_send_to_all (Host *h, Pond__Envelope *envelope);
 /* Passes the current list of hosts on to the components. */
 void host_on_hosts_changed (void *data);
 
@@ -63,6 +69,9 @@
 void host_on_server_removed (void *data, const char *id, bool confirmed);
 /* A response said that its server is draining. Any thread. */
 void host_on_server_draining (void *data, const ServerInstance *instance);
+/* A server has stated what request rate it accepts. Any thread. */
+void host_on_server_limited (void *data, const ServerInstance *instance, LimitStatement statement,
+                             int64_t stated_ms);
 /* @return false if the message is not about backend servers. */
 bool host_on_server_message (Host *h, const Pond__Envelope *envelope);
 
--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -34,18 +34,31 @@
   return h->peers != NULL;
 }
 
-void
-host_send_to_data_centre (Host *h, Pond__Envelope *envelope)
+/* @param data_centre NULL: to the hosts of all data centres. */
+static void
+send_to_hosts (Host *h, const char *data_centre, Pond__Envelope *envelope)
 {
   size_t n;
   const RegistryHost *hosts = registry_hosts (h->registry, &n);
 
   for (size_t i = 0; h->peers && i < n; i++)
-    if (hosts[i].peer_address[0] && !strcmp (hosts[i].data_centre, h->settings->data_centre)
+    if (hosts[i].peer_address[0] && (!data_centre || !strcmp (hosts[i].data_centre, data_centre))
         && strcmp (hosts[i].name, h->settings->host_name) != 0)
       peer_transport_send (peer_tcp_transport (h->peers), hosts[i].name, envelope);
 }
 
+void
+host_send_to_data_centre (Host *h, Pond__Envelope *envelope)
+{
+  send_to_hosts (h, h->settings->data_centre, envelope);
+}
+
+void
+host_send_to_all (Host *h, Pond__Envelope *envelope)
+{
+  send_to_hosts (h, NULL, envelope);
+}
+
 /* Only hosts that listen for messages of other hosts can be coordinators of budgets. */
 void
 host_on_hosts_changed (void *data)
@@ -54,13 +67,17 @@
   size_t n;
   const RegistryHost *hosts = registry_hosts (h->registry, &n);
   CoordinatorCandidate *candidates = talloc_array (h, CoordinatorCandidate, n + 1);
+  ListedHost *sharing = talloc_array (candidates, ListedHost, n + 1);
   size_t n_candidates = 0;
 
   for (size_t i = 0; i < n; i++)
     if (h->peers && hosts[i].peer_address[0]
         && peer_tcp_set_address (h->peers, hosts[i].name, hosts[i].peer_address))
       candidates[n_candidates++] = (CoordinatorCandidate){ hosts[i].name, hosts[i].incarnation };
-  dispatch_set_hosts (h->dispatch, (int)n);
+  for (size_t i = 0; i < n; i++)
+    sharing[i] = (ListedHost){ hosts[i].name, hosts[i].data_centre,
+                               host_region_of (h, hosts[i].data_centre) };
+  dispatch_set_hosts (h->dispatch, sharing, n);
   config_source_set_host_count (h->config_source, (int)n);
   budgets_set_hosts (h->budgets, candidates, n_candidates);
   talloc_free (candidates);
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &pond__rotation_told__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pond__server_limited__init
+                     (Pond__ServerLimited         *message)
+{
+  static const Pond__ServerLimited init_value = POND__SERVER_LIMITED__INIT;
+  *message = init_value;
+}
+size_t pond__server_limited__get_packed_size
+                     (const Pond__ServerLimited *message)
+{
+  assert(message->base.descriptor == &pond__server_limited__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pond__server_limited__pack
+                     (const Pond__ServerLimited *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pond__server_limited__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pond__server_limited__pack_to_buffer
+                     (const Pond__ServerLimited *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pond__server_limited__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pond__ServerLimited *
+       pond__server_limited__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pond__ServerLimited *)
+     protobuf_c_message_unpack (&pond__server_limited__descriptor,
+                                allocator, len, data);
+}
+void   pond__server_limited__free_unpacked
+                     (Pond__ServerLimited *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pond__server_limited__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pond__envelope__init
                      (Pond__Envelope         *message)
 {
@@ -668,7 +713,97 @@
   (ProtobufCMessageInit) pond__rotation_told__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pond__envelope__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pond__server_limited__field_descriptors[5] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pond__ServerLimited, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pond__ServerLimited, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Pond__ServerLimited, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests_per_s",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pond__ServerLimited, requests_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Pond__ServerLimited, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pond__server_limited__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  4,   /* field[4] = age_ms */
+  2,   /* field[2] = born_ms */
+  3,   /* field[3] = requests_per_s */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange pond__server_limited__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor pond__server_limited__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pond.ServerLimited",
+  "ServerLimited",
+  "Pond__ServerLimited",
+  "pond",
+  sizeof(Pond__ServerLimited),
+  5,
+  pond__server_limited__field_descriptors,
+  pond__server_limited__field_indices_by_name,
+  1,  pond__server_limited__number_ranges,
+  (ProtobufCMessageInit) pond__server_limited__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pond__envelope__field_descriptors[9] =
 {
   {
     "from",
@@ -766,6 +901,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server_limited",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pond__Envelope, body_case),
+    offsetof(Pond__Envelope, server_limited),
+    &pond__server_limited__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pond__envelope__field_indices_by_name[] = {
   3,   /* field[3] = balance_ask */
@@ -775,13 +922,14 @@
   1,   /* field[1] = from_incarnation */
   7,   /* field[7] = rotation_told */
   6,   /* field[6] = server_leaves */
+  8,   /* field[8] = server_limited */
   2,   /* field[2] = to */
 };
 static const ProtobufCIntRange pond__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pond__envelope__descriptor =
 {
@@ -791,7 +939,7 @@
   "Pond__Envelope",
   "pond",
   sizeof(Pond__Envelope),
-  8,
+  9,
   pond__envelope__field_descriptors,
   pond__envelope__field_indices_by_name,
   2,  pond__envelope__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Pond__BalanceLeave Pond__BalanceLeave;
 typedef struct Pond__ServerLeaves Pond__ServerLeaves;
 typedef struct Pond__RotationTold Pond__RotationTold;
+typedef struct Pond__ServerLimited Pond__ServerLimited;
 typedef struct Pond__Envelope Pond__Envelope;
 
 
@@ -118,13 +119,32 @@
     , 0, 0 }
 
 
+/*
+ * A backend server has stated the request rate that it accepts from all hosts together; 0 says that it has no limit any
+ * more. "age_ms" is the time since the statement.
+ */
+struct  Pond__ServerLimited
+{
+  ProtobufCMessage base;
+  char *server;
+  char *address;
+  int64_t born_ms;
+  double requests_per_s;
+  int64_t age_ms;
+};
+#define POND__SERVER_LIMITED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pond__server_limited__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 typedef enum {
   POND__ENVELOPE__BODY__NOT_SET = 0,
   POND__ENVELOPE__BODY_BALANCE_ASK = 10,
   POND__ENVELOPE__BODY_BALANCE_GIVE = 11,
   POND__ENVELOPE__BODY_BALANCE_LEAVE = 12,
   POND__ENVELOPE__BODY_SERVER_LEAVES = 13,
-  POND__ENVELOPE__BODY_ROTATION_TOLD = 14
+  POND__ENVELOPE__BODY_ROTATION_TOLD = 14,
+  POND__ENVELOPE__BODY_SERVER_LIMITED = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POND__ENVELOPE__BODY__CASE)
 } Pond__Envelope__BodyCase;
 
@@ -141,6 +161,7 @@
     Pond__BalanceLeave *balance_leave;
     Pond__ServerLeaves *server_leaves;
     Pond__RotationTold *rotation_told;
+    Pond__ServerLimited *server_limited;
   };
 };
 #define POND__ENVELOPE__INIT \
@@ -243,6 +264,25 @@
 void   pond__rotation_told__free_unpacked
                      (Pond__RotationTold *message,
                       ProtobufCAllocator *allocator);
+/* Pond__ServerLimited methods */
+void   pond__server_limited__init
+                     (Pond__ServerLimited         *message);
+size_t pond__server_limited__get_packed_size
+                     (const Pond__ServerLimited   *message);
+size_t pond__server_limited__pack
+                     (const Pond__ServerLimited   *message,
+                      uint8_t             *out);
+size_t pond__server_limited__pack_to_buffer
+                     (const Pond__ServerLimited   *message,
+                      ProtobufCBuffer     *buffer);
+Pond__ServerLimited *
+       pond__server_limited__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pond__server_limited__free_unpacked
+                     (Pond__ServerLimited *message,
+                      ProtobufCAllocator *allocator);
 /* Pond__Envelope methods */
 void   pond__envelope__init
                      (Pond__Envelope         *message);
@@ -279,6 +319,9 @@
 typedef void (*Pond__RotationTold_Closure)
                  (const Pond__RotationTold *message,
                   void *closure_data);
+typedef void (*Pond__ServerLimited_Closure)
+                 (const Pond__ServerLimited *message,
+                  void *closure_data);
 typedef void (*Pond__Envelope_Closure)
                  (const Pond__Envelope *message,
                   void *closure_data);
@@ -293,6 +336,7 @@
 extern const ProtobufCMessageDescriptor pond__balance_leave__descriptor;
 extern const ProtobufCMessageDescriptor pond__server_leaves__descriptor;
 extern const ProtobufCMessageDescriptor pond__rotation_told__descriptor;
+extern const ProtobufCMessageDescriptor pond__server_limited__descriptor;
 extern const ProtobufCMessageDescriptor pond__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -101,6 +101,7 @@
   r->attempt = a;
   r->state = RELAY_SENT;
   snprintf (r->server, sizeof r->server, "%s", assignment_server (assignment));
+  r->limits = assignment_limits (assignment);
   a->call = send_request (r, a);
   if (!a->call)
     fail_attempt (r, a, FAIL_BEFORE_CONNECT, ERR_CONNECT_FAILED);
@@ -215,6 +216,18 @@
   return RESPONSE_VALID;
 }
 
+/* That a limit is missing counts only in a response to a request that the server has run: responses that are made before
+ * may lack it. */
+static bool
+states_limit (const Attempt *a)
+{
+  const RelayResponseHead *head = &a->head;
+
+  if (!head->matches_request || head->misdirected)
+    return false;
+  return head->limit.kind == LIMIT_NAMED || (head->from_server && !head->not_run);
+}
+
 /* Reports what the head says about the server, even if the response itself is rejected. */
 static void
 report_server_state (Attempt *a, BackendCall *call, int64_t now)
@@ -226,7 +239,7 @@
     assignment_report_load (a->assignment, a->head.running, a->head.waiting, a->head.slots, now);
   if (a->head.draining)
     assignment_report_draining (a->assignment, a->head.misdirected, now);
-  if (a->head.matches_request && !a->head.misdirected)
+  if (states_limit (a))
     assignment_report_limit (a->assignment, a->head.limit, now);
   if (a->head.retry_after_ms > 0)
     assignment_report_pause (a->assignment, a->head.retry_after_ms, now);
--- a/src/relay/relay_finish.c
+++ b/src/relay/relay_finish.c
@@ -13,6 +13,9 @@
 /* Size of the text of a Retry-After header: seconds with three decimals. */
 #define RETRY_AFTER_BYTES 32
 
+/* Size of the text of the log fields on limits of servers. */
+#define LIMITS_BYTES 96
+
 /* --- Settlement -------------------------------------------------------------------------- */
 
 static Charge
@@ -50,23 +53,38 @@
   r->reservation = NULL;
 }
 
+/* Empty if limits of servers had nothing to do with the choice of the server. */
+static void
+format_limits (const Relay *r, char text[LIMITS_BYTES])
+{
+  const AssignmentLimits *l = &r->limits;
+
+  text[0] = '\0';
+  if (l->requests_per_s > 0)
+    snprintf (text, LIMITS_BYTES, " limits_avoided=%d limit_per_s=%.3f limit_age_ms=%" PRId64,
+              l->avoided, l->requests_per_s, l->age_ms);
+}
+
 static void
 log_end (const Relay *r)
 {
   const RelayRequest *q = r->request;
   int64_t total = timers_now_ms (r->deps->timers) - r->received_ms;
+  char limits[LIMITS_BYTES];
+
+  format_limits (r, limits);
 
   histogram_add (relay_counters ()->duration, total * 1000);
   log_event (r->reason == ERR_NONE ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "relay", "end",
              "id=%s route=%s service=%s account=%s status=%d reason=%s server=%s sends=%d runs=%d "
              "prompt=%" PRId64 " reserved=%" PRId64 " settled=%" PRId64 " charge=%s events=%" PRId64
-             " first_ms=%" PRId64 " gap_ms=%" PRId64 " total_ms=%" PRId64 " left_ms=%" PRId64,
+             " first_ms=%" PRId64 " gap_ms=%" PRId64 " total_ms=%" PRId64 " left_ms=%" PRId64 "%s",
              q->id, q->route ? q->route->name : "-", q->service->name,
              q->account ? q->account : "-", r->status, err_info (r->reason)->name,
              r->server[0] ? r->server : "-", r->sends, r->runs, q->prompt_tokens, r->reserved,
              r->charge.tokens, r->reserved > 0 ? charge_outcome_name (r->charge.outcome) : "-",
              r->events, r->first_event_ms, r->max_gap_ms, total,
-             r->deadline_ms - timers_now_ms (r->deps->timers));
+             r->deadline_ms - timers_now_ms (r->deps->timers), limits);
 }
 
 static void
--- a/tests/unit/dispatch_fixture.c
+++ b/tests/unit/dispatch_fixture.c
@@ -16,6 +16,10 @@
   return data_centre;
 }
 
+static const ListedHost HOSTS[DISPATCH_FIXTURE_MAX_HOSTS] = {
+  { "host-0", "d", "d" }, { "host-1", "d", "d" }, { "host-2", "d", "d" }, { "host-3", "d", "d" }
+};
+
 DispatchFixture *
 dispatch_fixture_new (int hosts, int servers, const char *policy)
 {
@@ -33,7 +37,8 @@
   rng_seed (&fx->rng, 1);
   for (int i = 0; i < hosts; i++)
     {
-      DispatchOptions options = { .data_centre = "d",
+      DispatchOptions options = { .host = HOSTS[i].name,
+                                  .data_centre = "d",
                                   .region = "d",
                                   .region_of = region_of,
                                   .retries = { 0.2, 10000, 40 },
@@ -41,7 +46,7 @@
                                   .policy = policy };
 
       fx->hosts[i] = dispatch_new (fx, &options);
-      dispatch_set_hosts (fx->hosts[i], hosts);
+      dispatch_set_hosts (fx->hosts[i], HOSTS, (size_t)hosts);
     }
   for (int i = 0; i < servers; i++)
     dispatch_fixture_publish (fx, i, false);
--- a/tests/unit/limit_fleet.c
+++ b/tests/unit/limit_fleet.c
@@ -1,14 +1,18 @@
 #include "limit_fleet.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
 #include <talloc.h>
 
 #define RING_MS     1024
 #define DELAY_MS    5   /* from a host to a server */
 #define RESPONSE_MS 100 /* from the arrival to the response's head */
 #define RUN_MS      300 /* from the arrival to the response's end */
+#define MESSAGE_MS  10  /* from a host to another one */
+#define TOLD_MS     500 /* after a response that names a limit, its host's requests count */
 
 #define WINDOW_MS      4000
 #define ALLOWED_FACTOR 1.5
@@ -18,21 +22,25 @@
 {
   int64_t ms;
   int server;
+  bool told; /* the server had told the host of its limit */
 } Arrival;
 
 typedef enum
 {
   EVENT_ARRIVAL,
   EVENT_HEAD,
-  EVENT_END
+  EVENT_END,
+  EVENT_MESSAGE
 } EventKind;
 
 typedef struct
 {
   EventKind kind;
-  Assignment *assignment;
+  int host;
+  Assignment *assignment; /* NULL for a message */
   int server;
-  LimitStatement statement; /* of the head */
+  LimitStatement statement; /* of a message */
+  int64_t stated_ms;        /* of a message */
 } Event;
 
 static void
@@ -50,6 +58,64 @@
   return data_centre;
 }
 
+static void
+on_server_limited (void *data, const ServerInstance *instance, LimitStatement statement,
+                   int64_t stated_ms)
+{
+  const LimitFleetHost *from = data;
+  LimitFleet *f = from->fleet;
+  Event event = { .kind = EVENT_MESSAGE,
+                  .server = atoi (instance->id),
+                  .statement = statement,
+                  .stated_ms = stated_ms };
+
+  for (int i = 0; i < f->options.hosts && !f->messages_lost; i++)
+    {
+      event.host = i;
+      if (&f->hosts[i] != from && f->hosts[i].group == from->group && !f->hosts[i].stopped)
+        add_event (f, MESSAGE_MS, &event);
+    }
+}
+
+static void
+make_dispatch (LimitFleet *f, LimitFleetHost *host)
+{
+  DispatchOptions options = { .host = host->name,
+                              .data_centre = host->data_centre,
+                              .region = host->data_centre,
+                              .region_of = region_of,
+                              .retries = { 0.2, 10000, 40 },
+                              .seed = rng_next (&f->rng),
+                              .policy = "cost",
+                              .server_limited = on_server_limited,
+                              .server_limited_data = host };
+
+  host->dispatch = dispatch_new (f, &options);
+}
+
+/* Gives all hosts the lists of those that they know. */
+static void
+update_lists (LimitFleet *f)
+{
+  ListedHost *list = talloc_array (f, ListedHost, f->options.hosts);
+
+  for (int i = 0; i < f->options.hosts; i++)
+    {
+      size_t n = 0;
+
+      for (int k = 0; k < f->options.hosts; k++)
+        {
+          const LimitFleetHost *h = &f->hosts[k];
+
+          if (h->group == f->hosts[i].group && !h->stopped)
+            list[n++] = (ListedHost){ h->name, h->data_centre, h->data_centre };
+        }
+      if (!f->hosts[i].stopped)
+        dispatch_set_hosts (f->hosts[i].dispatch, list, n);
+    }
+  talloc_free (list);
+}
+
 static void
 add_hosts (LimitFleet *f)
 {
@@ -57,18 +123,29 @@
   for (int i = 0; i < f->options.hosts; i++)
     {
       LimitFleetHost *host = &f->hosts[i];
-      DispatchOptions options = { .data_centre = host->data_centre,
-                                  .region = host->data_centre,
-                                  .region_of = region_of,
-                                  .retries = { 0.2, 10000, 40 },
-                                  .seed = f->options.seed + (uint64_t)i,
-                                  .policy = "cost" };
 
+      host->fleet = f;
+      host->told_ms = talloc_zero_array (f, int64_t, f->options.servers);
       snprintf (host->name, sizeof host->name, "host-%d", i);
       snprintf (host->data_centre, sizeof host->data_centre, "dc-%d", i % f->options.data_centres);
-      host->dispatch = dispatch_new (f, &options);
-      dispatch_set_hosts (host->dispatch, f->options.hosts);
+      make_dispatch (f, host);
     }
+  update_lists (f);
+}
+
+static void
+publish_server (LimitFleet *f, int server, Dispatch *dispatch)
+{
+  const LimitFleetServer *s = &f->servers[server];
+  ServerRecord record = { .id = s->id,
+                          .service = "engine",
+                          .address = s->id,
+                          .data_centre = s->data_centre,
+                          .version = "v1",
+                          .slots = 64,
+                          .started_ms = 1 };
+
+  dispatch_server_changed (dispatch, &record, f->now_ms);
 }
 
 static void
@@ -78,18 +155,11 @@
   for (int i = 0; i < f->options.servers; i++)
     {
       LimitFleetServer *s = &f->servers[i];
-      ServerRecord record = { .id = s->id,
-                              .service = "engine",
-                              .address = s->id,
-                              .data_centre = s->data_centre,
-                              .version = "v1",
-                              .slots = 64,
-                              .started_ms = 1 };
 
       snprintf (s->id, sizeof s->id, "%d", i);
       snprintf (s->data_centre, sizeof s->data_centre, "dc-%d", i % f->options.data_centres);
       for (int host = 0; host < f->options.hosts; host++)
-        dispatch_server_changed (f->hosts[host].dispatch, &record, f->now_ms);
+        publish_server (f, i, f->hosts[host].dispatch);
     }
 }
 
@@ -116,39 +186,91 @@
 }
 
 static void
-cancel_events (GArray *events, int64_t now_ms)
+cancel_event (LimitFleet *f, const Event *event)
 {
-  for (guint i = 0; i < events->len; i++)
-    assignment_end (g_array_index (events, Event, i).assignment, ASSIGNMENT_CANCELLED, now_ms);
-  g_array_free (events, TRUE);
+  if (event->kind == EVENT_HEAD || event->kind == EVENT_END)
+    f->servers[event->server].running--;
+  if (event->assignment)
+    assignment_end (event->assignment, ASSIGNMENT_CANCELLED, f->now_ms);
+}
+
+/* Removes the events of one host, or of all hosts (-1). */
+static void
+cancel_events (LimitFleet *f, int host)
+{
+  for (int i = 0; i < RING_MS; i++)
+    for (guint k = f->due[i]->len; k-- > 0;)
+      {
+        const Event *event = &g_array_index (f->due[i], Event, k);
+
+        if (host >= 0 && event->host != host)
+          continue;
+        cancel_event (f, event);
+        g_array_remove_index (f->due[i], k);
+      }
 }
 
 void
 limit_fleet_free (LimitFleet *f)
 {
+  cancel_events (f, -1);
   for (int i = 0; i < RING_MS; i++)
-    cancel_events (f->due[i], f->now_ms);
+    g_array_free (f->due[i], TRUE);
   g_array_free (f->arrivals, TRUE);
   catalog_unref (f->catalog);
   talloc_free (f);
 }
 
+void
+limit_fleet_split (LimitFleet *f, int groups)
+{
+  for (int i = 0; i < f->options.hosts; i++)
+    f->hosts[i].group = i % groups;
+  update_lists (f);
+}
+
+void
+limit_fleet_stop_host (LimitFleet *f, int host)
+{
+  cancel_events (f, host);
+  f->hosts[host].stopped = true;
+  TALLOC_FREE (f->hosts[host].dispatch);
+  update_lists (f);
+}
+
+void
+limit_fleet_start_host (LimitFleet *f, int host)
+{
+  LimitFleetHost *h = &f->hosts[host];
+
+  h->stopped = false;
+  memset (h->told_ms, 0, sizeof *h->told_ms * (size_t)f->options.servers);
+  make_dispatch (f, h);
+  for (int i = 0; i < f->options.servers; i++)
+    publish_server (f, i, h->dispatch);
+  update_lists (f);
+}
+
 /* --- Load -------------------------------------------------------------------------------- */
 
 static void
 send_request (LimitFleet *f)
 {
-  LimitFleetHost *host = &f->hosts[rng_below (&f->rng, (uint64_t)f->options.hosts)];
+  int host = (int)rng_below (&f->rng, (uint64_t)f->options.hosts);
   DispatchQuery query
       = { .service = f->service, .now_ms = f->now_ms, .prompt_tokens = 2000, .max_tokens = 100 };
   Err err = ERR_INIT;
-  Event event = { .kind = EVENT_ARRIVAL };
+  Event event = { .kind = EVENT_ARRIVAL, .host = host };
 
+  while (f->hosts[event.host].stopped)
+    event.host = (event.host + 1) % f->options.hosts;
   f->sent++;
-  event.assignment = dispatch_pick (host->dispatch, f, &query, &err);
+  event.assignment = dispatch_pick (f->hosts[event.host].dispatch, f, &query, &err);
   if (!event.assignment)
     {
       f->refused++;
+      if (err.retry_after_ms > f->max_retry_after_ms)
+        f->max_retry_after_ms = err.retry_after_ms;
       return;
     }
   event.server = atoi (assignment_server (event.assignment));
@@ -158,11 +280,14 @@
 static void
 handle_arrival (LimitFleet *f, Event event)
 {
-  Arrival arrival = { .ms = f->now_ms, .server = event.server };
+  int64_t told_ms = f->hosts[event.host].told_ms[event.server];
+  Arrival arrival = { .ms = f->now_ms,
+                      .server = event.server,
+                      .told = told_ms > 0 && f->now_ms - told_ms >= TOLD_MS };
 
   g_array_append_val (f->arrivals, arrival);
   f->servers[event.server].running++;
-  event.kind = EVENT_HEAD;
+  event.kind = f->servers[event.server].mute ? EVENT_END : EVENT_HEAD;
   add_event (f, RESPONSE_MS, &event);
 }
 
@@ -172,7 +297,10 @@
   const LimitFleetServer *s = &f->servers[event.server];
   LimitStatement statement = { .kind = s->limit_requests_per_s > 0 ? LIMIT_NAMED : LIMIT_NONE,
                                .requests_per_s = s->limit_requests_per_s };
+  int64_t *told_ms = &f->hosts[event.host].told_ms[event.server];
 
+  if (statement.kind == LIMIT_NAMED && *told_ms == 0)
+    *told_ms = f->now_ms;
   assignment_report_load (event.assignment, s->running, 0, 64, f->now_ms);
   assignment_report_limit (event.assignment, statement, f->now_ms);
   assignment_report_first_event (event.assignment, f->now_ms);
@@ -180,18 +308,31 @@
   add_event (f, RUN_MS - RESPONSE_MS, &event);
 }
 
+static void
+handle_message (LimitFleet *f, Event event)
+{
+  ServerInstance instance
+      = { f->servers[event.server].id, f->servers[event.server].id, .started_ms = 1 };
+
+  if (!f->hosts[event.host].stopped)
+    dispatch_server_limited (f->hosts[event.host].dispatch, &instance, event.statement,
+                             f->now_ms - event.stated_ms, f->now_ms);
+}
+
 static void
 handle_end (LimitFleet *f, Event event)
 {
   f->servers[event.server].running--;
-  assignment_end (event.assignment, ASSIGNMENT_COMPLETED, f->now_ms);
+  assignment_end (event.assignment,
+                  f->servers[event.server].mute ? ASSIGNMENT_CANCELLED : ASSIGNMENT_COMPLETED,
+                  f->now_ms);
 }
 
 static void
 handle_events (LimitFleet *f)
 {
   static void (*const HANDLERS[]) (LimitFleet * f, Event event)
-      = { handle_arrival, handle_head, handle_end };
+      = { handle_arrival, handle_head, handle_end, handle_message };
   GArray *events = f->due[f->now_ms % RING_MS];
 
   for (guint i = 0; i < events->len; i++)
@@ -234,7 +375,7 @@
     {
       const Arrival *a = &g_array_index (f->arrivals, Arrival, i);
 
-      n += a->server == server && a->ms >= from_ms;
+      n += a->server == server && a->ms >= from_ms && (a->told || !f->only_told);
     }
   return n;
 }
@@ -250,7 +391,7 @@
     {
       const Arrival *a = &g_array_index (f->arrivals, Arrival, i);
 
-      if (a->server != server || a->ms < from_ms)
+      if (a->server != server || a->ms < from_ms || (f->only_told && !a->told))
         continue;
       g_array_append_val (times, a->ms);
       while (g_array_index (times, int64_t, first) <= a->ms - WINDOW_MS)
@@ -262,6 +403,32 @@
   return worst;
 }
 
+static int
+known_limits (const LimitFleet *f, const LimitFleetHost *host)
+{
+  char *text = dispatch_describe (host->dispatch, f, f->now_ms);
+  json_t *list = json_loads (text, 0, NULL);
+  int n = 0;
+  size_t i;
+  json_t *server;
+
+  json_array_foreach (list, i, server) n
+      += json_number_value (json_object_get (server, "limit_per_s")) > 0;
+  json_decref (list);
+  talloc_free (text);
+  return n;
+}
+
+int
+limit_fleet_known_limits (const LimitFleet *f)
+{
+  int n = 0;
+
+  for (int i = 0; i < f->options.hosts; i++)
+    n += known_limits (f, &f->hosts[i]);
+  return n;
+}
+
 double
 limit_fleet_allowed (double requests_per_s)
 {
--- a/tests/unit/relay_fixture.c
+++ b/tests/unit/relay_fixture.c
@@ -107,7 +107,9 @@
   RelayFixture *f = talloc_zero (NULL, RelayFixture);
   CatalogBuilder *b = catalog_builder_new (NULL, 1);
   CatalogService service = { .name = "service", .connection_limit = 100 };
-  DispatchOptions dispatch = { .data_centre = "d",
+  static const ListedHost HOST = { "host", "d", "d" };
+  DispatchOptions dispatch = { .host = HOST.name,
+                               .data_centre = "d",
                                .region = "d",
                                .region_of = region_of,
                                .retries = { 0.2, 10000, 40 },
@@ -119,7 +121,7 @@
   budget_fixture_configure (f->budgets, ACCOUNT, RELAY_FIXTURE_BUDGET, 1);
   f->backend = fake_backend_new (f);
   f->dispatch = dispatch_new (f, &dispatch);
-  dispatch_set_hosts (f->dispatch, 1);
+  dispatch_set_hosts (f->dispatch, &HOST, 1);
   f->body = talloc_strdup (f, "");
   f->headers = talloc_strdup (f, "");
   f->response_quota = (BufferQuota){ .limit_bytes = 1 << 20 };
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -335,7 +335,8 @@
 {
   DispatchFixture *fx = dispatch_fixture_new (1, 0, "cost");
   int n_reports = 0;
-  DispatchOptions options = { .data_centre = "d",
+  DispatchOptions options = { .host = "host-0",
+                              .data_centre = "d",
                               .region = "d",
                               .retries = { 0.2, 10000, 40 },
                               .policy = "cost",
--- a/tests/unit/test_server_signals.c
+++ b/tests/unit/test_server_signals.c
@@ -133,6 +133,110 @@
   relay_fixture_free (fx);
 }
 
+static const char *const LIMITED[]
+    = { "X-Request-Id", "r-1", "X-Response-Seal", "s", "Server-Limit", "0.5", NULL };
+static const char *const LIMITED_NOT_RUN[]
+    = { "X-Request-Id", "r-1", "X-Not-Executed", "full", "Server-Limit", "0.5", NULL };
+static const char *const LIMITED_MISMATCHED[]
+    = { "X-Request-Id", "r-2", "X-Response-Seal", "s", "Server-Limit", "0.5", NULL };
+static const char *const NOT_RUN[] = { "X-Request-Id", "r-1", "X-Not-Executed", "full", NULL };
+
+/* Sends a request, which gets this response. @return the address of its server. */
+static char *
+exchange (RelayFixture *fx, int status, const char *const *headers)
+{
+  FakeBackendCall *c;
+  char *address;
+
+  relay_fixture_start (fx);
+  c = relay_fixture_last_call (fx);
+  address = talloc_strdup (fx, c->address);
+  fake_backend_send_head (c, status, headers);
+  fake_backend_end_response (c);
+  if (fx->relay)
+    relay_fixture_disconnect_client (fx);
+  return address;
+}
+
+/* Guards against a limit that is not read from some kind of response, or from one that is not the server's. */
+static void
+limit_is_read_from_responses_of_its_server (void)
+{
+  static const struct
+  {
+    int status;
+    const char *const *headers;
+    bool limited;
+  } RESPONSES[] = { { 200, LIMITED, true },
+                    { 500, LIMITED, true },
+                    { 503, LIMITED_NOT_RUN, true },
+                    { 421, LIMITED_NOT_RUN, false },
+                    { 200, LIMITED_MISMATCHED, false } };
+
+  for (size_t i = 0; i < sizeof RESPONSES / sizeof RESPONSES[0]; i++)
+    {
+      RelayFixture *fx = relay_fixture_new (CALL_NON_IDEMPOTENT);
+      char *address = exchange (fx, RESPONSES[i].status, RESPONSES[i].headers);
+
+      relay_fixture_run (fx, 1000);
+      CU_ASSERT_EQUAL (gets_request (fx, address), !RESPONSES[i].limited);
+      relay_fixture_free (fx);
+    }
+}
+
+/* Guards against a limit that counts as ended because a response that its server makes without running the request
+ * lacks it. */
+static void
+limit_ends_only_with_a_response_to_a_run (void)
+{
+  static const struct
+  {
+    int status;
+    const char *const *headers;
+    bool ends;
+  } RESPONSES[] = { { 503, NOT_RUN, false }, { 200, SEALED, true } };
+
+  for (size_t i = 0; i < sizeof RESPONSES / sizeof RESPONSES[0]; i++)
+    {
+      RelayFixture *fx = relay_fixture_new (CALL_NON_IDEMPOTENT);
+      char *address = exchange (fx, 200, LIMITED);
+
+      for (int k = 0; k < 3; k++)
+        {
+          char id[24];
+
+          snprintf (id, sizeof id, "server-%d", k);
+          if (strcmp (id, address) != 0)
+            dispatch_server_removed (fx->dispatch, id, true, timers_now_ms (fx->deps.timers));
+        }
+      relay_fixture_run (fx, 4000);
+      exchange (fx, RESPONSES[i].status, RESPONSES[i].headers);
+      relay_fixture_run (fx, 1000);
+      CU_ASSERT_EQUAL (gets_request (fx, address), RESPONSES[i].ends);
+      relay_fixture_free (fx);
+    }
+}
+
+/* Guards against a client that waits, or is told to come back at once, or pays, while all servers have reached their
+ * limits. */
+static void
+client_is_refused_at_once_if_all_servers_are_at_their_limits (void)
+{
+  RelayFixture *fx = relay_fixture_new (CALL_NON_IDEMPOTENT);
+
+  for (int i = 0; i < 3; i++)
+    exchange (fx, 200, LIMITED);
+  fx->headers = talloc_strdup (fx, "");
+  relay_fixture_start (fx);
+  CU_ASSERT_EQUAL (n_sent (fx), 3);
+  CU_ASSERT_PTR_NULL (fx->relay);
+  CU_ASSERT_EQUAL (fx->status, 503);
+  CU_ASSERT_PTR_NOT_NULL (strstr (fx->headers, "Retry-After: "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (fx->body, "\"not_run\""));
+  CU_ASSERT_TRUE (relay_fixture_can_reserve (fx, RELAY_FIXTURE_BUDGET - 3 * 150));
+  relay_fixture_free (fx);
+}
+
 int
 main (void)
 {
@@ -142,6 +246,10 @@
       paused_server_gets_no_requests_until_pause_ends },
     { "client_gets_retry_after_if_all_servers_are_paused",
       client_gets_retry_after_if_all_servers_are_paused },
+    { "limit_is_read_from_responses_of_its_server", limit_is_read_from_responses_of_its_server },
+    { "limit_ends_only_with_a_response_to_a_run", limit_ends_only_with_a_response_to_a_run },
+    { "client_is_refused_at_once_if_all_servers_are_at_their_limits",
+      client_is_refused_at_once_if_all_servers_are_at_their_limits },
   };
 
   return harness_run ("server_signals", CASES, sizeof CASES / sizeof CASES[0]);
