dispatch: parts of a connection limit no longer add up to more than it

Change: a server that has fewer than 2 connections for each host is used by the first hosts of its order of hosts only, as a server with a named limit is.

Tests: connection_shares_of_any_fleet_stay_within_the_limit (limits 1 to 2,000, 1 to 1,000 hosts) and few_connections_go_to_few_hosts failed with the old formula (dispatch: 12 passed, 2 failed) and pass now (14 passed, 0 failed).

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -9,16 +9,12 @@
 
 #include "core/invariant.h"
 #include "core/log.h"
+#include "dispatch/connection_share.h"
 #include "dispatch/dispatch_impl.h"
 
 #define PREFIX_ENTRIES     8192
 #define MEAN_PROMPT_WEIGHT 0.02
 
-/* Fraction of a server's connection limit that is divided among the known hosts; the rest is left
- * for hosts that have joined but are not counted yet. */
-#define CONNECTION_SHARE 0.85
-#define MIN_CONNECTIONS  2 /* of one host to one server */
-
 /* Retry-After if only limits of servers keep a request from them: spread, so that the requests do not come back
  * together. */
 #define LIMIT_RETRY_MS        500
@@ -36,14 +32,9 @@
 }
 
 static int
-connection_share (const Dispatch *d, const CatalogService *service)
+share_of_few (const Dispatch *d, const CatalogService *service, Server *s)
 {
-  int share;
-
-  if (service->connection_limit <= 0)
-    return INT32_MAX;
-  share = (int)(service->connection_limit * CONNECTION_SHARE / n_hosts (d));
-  return share > MIN_CONNECTIONS ? share : MIN_CONNECTIONS;
+  return connection_share_of_few (service->connection_limit, rank_of_host (d, s));
 }
 
 static double
@@ -123,7 +114,7 @@
 static Server *
 choose_server (Dispatch *d, const ServerPool *p, const DispatchQuery *q, Candidates *c)
 {
-  int share = connection_share (d, q->service);
+  int share = connection_share_of_each (q->service->connection_limit, n_hosts (d));
   const Server *affinity = cost_affinity_server (&p->servers, q);
   Server *fallback = NULL;
   Server *due = NULL;
@@ -145,7 +136,7 @@
           count_paused (c, s);
           continue;
         }
-      if (s->in_flight >= share)
+      if (s->in_flight >= (share ? share : share_of_few (d, q->service, s)))
         {
           c->at_limit++;
           continue;
--- a/src/dispatch/dispatch_impl.h
+++ b/src/dispatch/dispatch_impl.h
@@ -60,6 +60,11 @@
 bool mark_draining (Dispatch *d, Server *s, const char *source, int64_t now_ms);
 int n_hosts (const Dispatch *d);
 
+/* Determines Server.host_rank anew if the list of hosts has changed. */
+void update_host_rank (const Dispatch *d, Server *s);
+/* @return this host's rank in the server's order of hosts, or 0 while the list of hosts lacks this host. */
+int rank_of_host (const Dispatch *d, Server *s);
+
 /* limits.c */
 /* @return whether this host may send the server a request, as far as the server's limit is concerned. */
 LimitState check_limit (Dispatch *d, Server *s, int64_t now_ms);
--- a/src/dispatch/limits.c
+++ b/src/dispatch/limits.c
@@ -9,10 +9,9 @@
 static void
 update_rank (const Dispatch *d, Server *s, int64_t now_ms)
 {
-  HostListServer server = { s->hash, s->data_centre, s->region };
-
-  server_limit_set_rank (&s->limit, host_list_count (d->hosts), host_list_rank (d->hosts, &server),
-                         host_list_version (d->hosts), now_ms);
+  update_host_rank (d, s);
+  server_limit_set_rank (&s->limit, host_list_count (d->hosts), s->host_rank, s->hosts_version,
+                         now_ms);
 }
 
 LimitState
--- a/src/dispatch/server.h
+++ b/src/dispatch/server.h
@@ -63,6 +63,10 @@
   /* Requested by the server. */
   int64_t pause_until_ms; /* until then this host sends it no requests */
   ServerLimit limit;
+
+  /* This host's place in the server's order of hosts (host_list.h). */
+  int host_rank;          /* -1: not in the list */
+  uint32_t hosts_version; /* the list that host_rank is from; 0: not yet determined */
 };
 
 /** @return a talloc object under @p ctx. */
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -209,6 +209,24 @@
   pthread_mutex_unlock (&d->lock);
 }
 
+void
+update_host_rank (const Dispatch *d, Server *s)
+{
+  HostListServer server = { s->hash, s->data_centre, s->region };
+
+  if (s->hosts_version == host_list_version (d->hosts))
+    return;
+  s->host_rank = host_list_rank (d->hosts, &server);
+  s->hosts_version = host_list_version (d->hosts);
+}
+
+int
+rank_of_host (const Dispatch *d, Server *s)
+{
+  update_host_rank (d, s);
+  return s->host_rank > 0 ? s->host_rank : 0;
+}
+
 int
 n_hosts (const Dispatch *d)
 {
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -4,6 +4,7 @@
 
 #include <talloc.h>
 
+#include "dispatch/connection_share.h"
 #include "dispatch_fixture.h"
 #include "harness.h"
 
@@ -240,6 +241,56 @@
   dispatch_fixture_free (fx);
 }
 
+/* Guards against parts of a connection limit that are rounded up and add up to more than it, and against a server that no
+ * host may use. */
+static void
+connection_shares_of_any_fleet_stay_within_the_limit (void)
+{
+  static const int LIMITS[] = { 1, 2, 3, 6, 40, 110, 560, 630, 2000 };
+  static const int HOSTS[] = { 1, 2, 9, 84, 295, 350, 1000 };
+
+  for (size_t i = 0; i < sizeof LIMITS / sizeof LIMITS[0]; i++)
+    for (size_t k = 0; k < sizeof HOSTS / sizeof HOSTS[0]; k++)
+      {
+        int sum = 0;
+
+        for (int rank = 0; rank < HOSTS[k]; rank++)
+          {
+            int share = connection_share_of_each (LIMITS[i], HOSTS[k]);
+
+            sum += share ? share : connection_share_of_few (LIMITS[i], rank);
+          }
+        CU_ASSERT (sum <= LIMITS[i]);
+        CU_ASSERT (sum > 0);
+      }
+}
+
+/* Guards against hosts that each use a server which has too few connections for all of them. */
+static void
+few_connections_go_to_few_hosts (void)
+{
+  DispatchFixture *fx = dispatch_fixture_new (4, 1, "cost");
+  CatalogService service = *fx->engine_service;
+  Assignment *assignments[20];
+  Err err = ERR_INIT;
+  PromptPart parts[3];
+  DispatchQuery q;
+  int n = 0;
+
+  service.connection_limit = 6;
+  dispatch_fixture_query (fx, &q, parts, 1, 100, 100);
+  q.service = &service;
+  for (int i = 0; i < 20; i++)
+    {
+      assignments[n] = dispatch_pick (fx->hosts[i % 4], fx, &q, &err);
+      n += assignments[n] != NULL;
+    }
+  CU_ASSERT (n > 0 && n <= 6);
+  while (n > 0)
+    finish (fx, assignments[--n], ASSIGNMENT_CANCELLED);
+  dispatch_fixture_free (fx);
+}
+
 /* Guards against a server that restarts under its old id and is taken for its previous instance. */
 static void
 new_instance_is_a_different_server (void)
@@ -383,6 +434,9 @@
     { "unreachable_servers_are_in_backoff", unreachable_servers_are_in_backoff },
     { "retries_stay_within_shared_limit", retries_stay_within_shared_limit },
     { "connection_limit_is_divided_among_hosts", connection_limit_is_divided_among_hosts },
+    { "connection_shares_of_any_fleet_stay_within_the_limit",
+      connection_shares_of_any_fleet_stay_within_the_limit },
+    { "few_connections_go_to_few_hosts", few_connections_go_to_few_hosts },
     { "new_instance_is_a_different_server", new_instance_is_a_different_server },
   };
 
