dispatch: assume a large fleet until the list of hosts is known

Until a host has read the list of hosts it divided the shared limits of connections and retries by 12. If a fleet of 350 restarts together while the store is slow, each host has 44 of a server's 630 connections and 14 of 214 retries in 10 s: 15,400 and 4,900 in sum, by arithmetic.

Change: 350 hosts are assumed; a host that does not know its place has one connection to a server that has too few for all. It costs a small fleet retries and connections (2 to a server with 630) in the milliseconds before its first read.

Test: hosts_without_a_list_stay_within_shared_limits failed before (dispatch: 14 passed, 1 failed) and passes now (15 passed, 0 failed).

--- a/src/dispatch/connection_share.c
+++ b/src/dispatch/connection_share.c
@@ -33,6 +33,8 @@
 {
   int total = total_connections (limit);
 
+  if (rank < 0)
+    return 1;
   if (total < MIN_CONNECTIONS)
     return rank == 0 ? total : 0;
   return rank < total / MIN_CONNECTIONS ? MIN_CONNECTIONS : 0;
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -29,7 +29,6 @@
   const char *region;
   RegionOfFn region_of;
   void *region_data;
-  int assumed_hosts; /* the number of hosts until dispatch_set_hosts() is called */
   RetryLimits retries;
   uint64_t seed;
   const char *policy; /* "cost", "least", "two_choices" or "random" */
--- a/src/dispatch/dispatch_impl.h
+++ b/src/dispatch/dispatch_impl.h
@@ -62,7 +62,7 @@
 
 /* Determines Server.host_rank anew if the list of hosts has changed. */
 void update_host_rank (const Dispatch *d, Server *s);
-/* @return this host's rank in the server's order of hosts, or 0 while the list of hosts lacks this host. */
+/* @return this host's rank in the server's order of hosts, or -1 if the list of hosts lacks this host. */
 int rank_of_host (const Dispatch *d, Server *s);
 
 /* limits.c */
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -9,6 +9,9 @@
 /* Servers publish records that expired during a store outage again within 2 s of the outage's end. */
 #define REMOVAL_GRACE_MS 2000
 
+/* Until the list of hosts is known: the largest fleet that the limits are to hold for. */
+#define ASSUMED_HOSTS 350
+
 /* Initial values, corrected by the responses of the servers. */
 #define INITIAL_PREFILL_TOKENS_PER_MS 40.0
 #define INITIAL_BASE_MS               30.0
@@ -224,7 +227,7 @@
 rank_of_host (const Dispatch *d, Server *s)
 {
   update_host_rank (d, s);
-  return s->host_rank > 0 ? s->host_rank : 0;
+  return s->host_rank;
 }
 
 int
@@ -232,7 +235,7 @@
 {
   int n = host_list_count (d->hosts);
 
-  return n > 0 ? n : d->options.assumed_hosts > 0 ? d->options.assumed_hosts : 1;
+  return n > 0 ? n : ASSUMED_HOSTS;
 }
 
 size_t
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -23,9 +23,6 @@
 #define CONFIG_WAIT_MARGIN_MS 800
 #define MAX_CONFIG_WAIT_MS    3000
 
-/* Number of hosts that are assumed to share the connection and retry limits until the registry has been read. */
-#define ASSUMED_HOST_COUNT 12
-
 /* Values of BudgetPolicy (budget/account.h), with which a host holds enough tokens to serve its own demand during
  * an outage of the store. */
 #define BUDGET_HORIZON_MS                    11000
@@ -109,7 +106,6 @@
                                .region = s->region,
                                .region_of = host_region_of,
                                .region_data = h,
-                               .assumed_hosts = ASSUMED_HOST_COUNT,
                                .retries = { .ratio = s->retry_share,
                                             .window_ms = s->retry_window_ms,
                                             .allowance = s->retry_allowance },
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -8,6 +8,17 @@
 #include "dispatch_fixture.h"
 #include "harness.h"
 
+static ServerRecord
+make_record (const char *id, int64_t started_ms)
+{
+  return (ServerRecord){ .id = id,
+                         .service = "engine",
+                         .address = id,
+                         .data_centre = "d",
+                         .version = "v1",
+                         .started_ms = started_ms };
+}
+
 static Assignment *
 pick (DispatchFixture *fx, int host, uint64_t session, Err *err)
 {
@@ -291,6 +302,59 @@
   dispatch_fixture_free (fx);
 }
 
+/* Guards against a fleet whose hosts restart together and, until each has read the list of hosts, take more than their
+ * parts of the shared limits. */
+static void
+hosts_without_a_list_stay_within_shared_limits (void)
+{
+  enum
+  {
+    N_HOSTS = 350,
+    CONNECTION_LIMIT = 630,
+    RETRY_ALLOWANCE = 214
+  };
+  DispatchFixture *fx = dispatch_fixture_new (1, 0, "cost");
+  CatalogService service = *fx->engine_service;
+  ServerRecord record = make_record ("server-0", 1);
+  PromptPart parts[3];
+  DispatchQuery q;
+  int connections = 0;
+  int retries = 0;
+
+  service.connection_limit = CONNECTION_LIMIT;
+  dispatch_fixture_query (fx, &q, parts, 1, 100, 100);
+  q.service = &service;
+  for (int i = 0; i < N_HOSTS; i++)
+    {
+      DispatchOptions options = { .host = "host",
+                                  .data_centre = "d",
+                                  .region = "d",
+                                  .retries = { 0.2, 10000, RETRY_ALLOWANCE },
+                                  .policy = "cost" };
+      Dispatch *d = dispatch_new (fx, &options);
+      Assignment *assignments[CONNECTION_LIMIT];
+      Err err = ERR_INIT;
+      int n = 0;
+
+      dispatch_server_changed (d, &record, fx->now_ms);
+      q.is_retry = true;
+      while (n < 20 && (assignments[n] = dispatch_pick (d, fx, &q, &err)))
+        n++;
+      retries += n;
+      q.is_retry = false;
+      while (n < CONNECTION_LIMIT && (assignments[n] = dispatch_pick (d, fx, &q, &err)))
+        n++;
+      CU_ASSERT (n > 0);
+      connections += n;
+      while (n > 0)
+        finish (fx, assignments[--n], ASSIGNMENT_CANCELLED);
+      talloc_free (d);
+    }
+  CU_ASSERT (connections <= CONNECTION_LIMIT);
+  CU_ASSERT (retries <= RETRY_ALLOWANCE);
+  dispatch_fixture_free (fx);
+}
+
 /* Guards against a server that restarts under its old id and is taken for its previous instance. */
 static void
 new_instance_is_a_different_server (void)
@@ -315,17 +379,6 @@
   dispatch_fixture_free (fx);
 }
 
-static ServerRecord
-make_record (const char *id, int64_t started_ms)
-{
-  return (ServerRecord){ .id = id,
-                         .service = "engine",
-                         .address = id,
-                         .data_centre = "d",
-                         .version = "v1",
-                         .started_ms = started_ms };
-}
-
 /* Guards against using a draining server again because a record from before the drain is read once
  * more: after the record expired, or from a store that returns old rows. */
 static void
@@ -437,6 +490,8 @@
     { "connection_shares_of_any_fleet_stay_within_the_limit",
       connection_shares_of_any_fleet_stay_within_the_limit },
     { "few_connections_go_to_few_hosts", few_connections_go_to_few_hosts },
+    { "hosts_without_a_list_stay_within_shared_limits",
+      hosts_without_a_list_stay_within_shared_limits },
     { "new_instance_is_a_different_server", new_instance_is_a_different_server },
   };
 
