native, tests: servers of our own interface name limits; a test with real hosts

What the unit tests do not reach is the way from a response over the message between hosts to another host's choice. Servers of our own interface now name a limit in X-Pond-Load (limit=1.5), so that the same holds for them, and the stand-ins play it.

--- a/src/dispatch/limit_statement.h
+++ b/src/dispatch/limit_statement.h
@@ -2,6 +2,9 @@
  * What a response says about the request rate that its server accepts from all hosts together. */
 #pragma once
 
+/** Higher limits are rejected as implausible. */
+#define LIMIT_MAX_REQUESTS_PER_S 100000.0
+
 typedef enum
 {
   LIMIT_NOT_STATED, /* the response proves nothing, for example because its value was rejected */
--- a/src/native/load_report.c
+++ b/src/native/load_report.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "dispatch/limit_statement.h"
 #include "native/load_report.h"
 
 #define MAX_REQUESTS 1000000
@@ -48,6 +49,7 @@
     { "cache", 1, 0, false },
     { "leaving", 1, 0, false },
     { "age_ms", MAX_AGE_MS, 0, false },
+    { "limit", LIMIT_MAX_REQUESTS_PER_S, 0, false },
   };
 
   while (*text)
@@ -65,6 +67,7 @@
                           .waiting = (int)fields[1].value,
                           .cache_used = fields[2].value,
                           .draining = fields[3].value > 0,
-                          .age_ms = (int64_t)fields[4].value };
+                          .age_ms = (int64_t)fields[4].value,
+                          .limit_requests_per_s = fields[5].value };
   return true;
 }
--- a/tests/process/fleet.bash
+++ b/tests/process/fleet.bash
@@ -74,6 +74,7 @@
 [listen]
 callers = "127.0.0.1:$(port $((100 + i)))"
 operators = "127.0.0.1:$(port $((300 + i)))"
+$([ -z "${PEERS:-}" ] || echo "peers = \"127.0.0.1:$(port $((200 + i)))\"")
 
 [platform]
 address = "127.0.0.1:$STORE_PORT"
--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -132,9 +132,9 @@
 void
 standin_format_load (Standin *s, char *text, size_t size)
 {
-  snprintf (text, size, "running=%d waiting=%d cache=%.2f leaving=%d age_ms=%" PRId64,
+  snprintf (text, size, "running=%d waiting=%d cache=%.2f leaving=%d limit=%.3f age_ms=%" PRId64,
             s->reported.running, s->reported.waiting, s->reported.cache_usage, s->draining,
-            timers_now_ms (loop_timers (s->loop)) - s->reported_ms);
+            s->limit_requests_per_s, timers_now_ms (loop_timers (s->loop)) - s->reported_ms);
 }
 
 void
@@ -148,8 +148,9 @@
   http_call_respond (call, status, headers, id[0] ? 3 : 2, json, strlen (json));
 }
 
-/* Body, for example: {"refuse": 2, "slow": -1, "leaving": true}. A number is the count of further requests that
- * the fault applies to, -1 for all; "leaving" sets whether the server is draining. */
+/* Body, for example: {"refuse": 2, "slow": -1, "leaving": true, "limit": 1.5}. A number is the count of further
+ * requests that the fault applies to, -1 for all; "leaving" sets whether the server is draining, "limit" the limit that
+ * it states. */
 static void
 set_faults (Standin *s, HttpCall *call)
 {
@@ -157,6 +158,7 @@
   const char *body = http_call_body (call, &len);
   json_t *json = json_loadb (body, len, 0, NULL);
   json_t *draining = json_object_get (json, "leaving");
+  json_t *limit = json_object_get (json, "limit");
 
   for (int k = 0; json && k < N_FAULTS; k++)
     {
@@ -165,6 +167,8 @@
       if (json_is_integer (n))
         s->faults[k] = (int)json_integer_value (n);
     }
+  if (json_is_number (limit))
+    s->limit_requests_per_s = json_number_value (limit);
   if (json_is_boolean (draining))
     s->draining = json_is_true (draining);
   standin_respond (s, call, json ? 200 : 400, "", "{}");
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -38,6 +38,7 @@
   /** Number of further requests that each fault applies to; -1: all. */
   int faults[N_FAULTS];
   bool draining;
+  double limit_requests_per_s; /* stated in the load header; 0: none */
   int64_t load_interval_ms;
   StandinLoad load;     /* now */
   StandinLoad reported; /* value of load at reported_ms; sent in the load header */
