--- a/tests/unit/test_server_limit.c
+++ b/tests/unit/test_server_limit.c
@@ -85,6 +85,32 @@
     }
 }
 
+/* As before, but with requests enough to use all of every limit: all servers have one. */
+static void
+halves_of_a_fleet_that_use_all_limits_stay_within_them (void)
+{
+  static const LimitFleetOptions SCARCE[] = {
+    { .hosts = 9, .servers = 4, .requests_per_s = 60, .data_centres = 3, .seed = 1 },
+    { .hosts = 84, .servers = 8, .requests_per_s = 200, .data_centres = 6, .seed = 2 },
+    { .hosts = 350, .servers = 12, .requests_per_s = 800, .data_centres = 5, .seed = 3 },
+  };
+
+  for (size_t i = 0; i < sizeof SCARCE / sizeof SCARCE[0]; i++)
+    {
+      LimitFleet *f = limit_fleet_new (&SCARCE[i]);
+      int64_t from_ms = f->now_ms + CONTACT_MS;
+
+      limit_fleet_split (f, 2);
+      for (int s = 0; s < SCARCE[i].servers; s++)
+        limit_fleet_set_limit (f, s, LIMITS[s % N_LIMITED]);
+      limit_fleet_run (f, 20000);
+      limit_fleet_split (f, 1);
+      limit_fleet_run (f, 10000);
+      check_limits (f, from_ms);
+      limit_fleet_free (f);
+    }
+}
+
 /* Guards against a limit that holds only while messages between hosts arrive. */
 static void
 limit_holds_if_messages_between_hosts_are_lost (void)
@@ -344,6 +370,8 @@
     { "hosts_together_stay_within_a_server_limit", hosts_together_stay_within_a_server_limit },
     { "halves_of_a_fleet_stay_within_a_server_limit",
       halves_of_a_fleet_stay_within_a_server_limit },
+    { "halves_of_a_fleet_that_use_all_limits_stay_within_them",
+      halves_of_a_fleet_that_use_all_limits_stay_within_them },
     { "limit_holds_if_messages_between_hosts_are_lost",
       limit_holds_if_messages_between_hosts_are_lost },
     { "restarting_hosts_stay_within_a_server_limit", restarting_hosts_stay_within_a_server_limit },
