--- a/tests/unit/limit_fleet.h
+++ b/tests/unit/limit_fleet.h
@@ -23,8 +23,8 @@
 typedef struct
 {
   LimitFleet *fleet;
-  char name[16];
-  char data_centre[16];
+  char name[24];
+  char data_centre[24];
   Dispatch *dispatch;
   int group;    /* hosts know and reach those of their group only */
   bool stopped; /* gets no requests and is in no list of hosts */
@@ -34,8 +34,8 @@
 
 typedef struct
 {
-  char id[16];
-  char data_centre[16];
+  char id[24];
+  char data_centre[24];
   double limit_requests_per_s; /* 0: none */
   bool mute;                   /* requests get no response */
   int running;
