budget: report holdings to a new coordinator

What callers see: while the coordinator of an account changes, another host has most of the account reserved for open requests. The new coordinator answers a request that these tokens could cover with 402, which is final, instead of 503.

Cause (findings_by_reading): a host reports its holdings when they change, and compares with what it last reported to any coordinator. The new one gets no report, yet counts the holdings as known after 2 s.

Change: a host also reports if the last report went to another host.

Test: holdings_are_reported_to_a_new_coordinator failed before (budget_coordinators: 6 passed, 1 failed) and passes (7 passed, 0 failed).

--- a/src/budget/budgets_impl.h
+++ b/src/budget/budgets_impl.h
@@ -31,6 +31,7 @@
   /* Time at which this host became the preferred coordinator (coordinators_is_preferred()); 0: it is not. */
   int64_t coordinator_since_ms;
   /* If this host is not the coordinator. */
+  uint64_t reported_to; /* hash of the name of the coordinator that got the last report; 0: none */
   Tokens reported_held; /* holdings last reported to a coordinator, plus transfers received since */
   int64_t reported_ms;  /* time of the last report that was not part of a request */
   /* Held by all other hosts, as stated in a coordinator's last response to a request that had to wait there. */
--- a/src/budget/budgets_transfer.c
+++ b/src/budget/budgets_transfer.c
@@ -1,6 +1,8 @@
 #include <inttypes.h>
+#include <string.h>
 
 #include <talloc.h>
+#include <xxhash.h>
 
 #include "budget/budgets_impl.h"
 #include "core/log.h"
@@ -203,6 +205,12 @@
     }
 }
 
+static uint64_t
+name_hash (const char *host)
+{
+  return XXH64 (host, strlen (host), 0);
+}
+
 static void
 report_to_coordinator (AccountEntry *a, const char *coordinator, Tokens tokens)
 {
@@ -212,6 +220,7 @@
                         .held = held_tokens (a) };
 
   a->reported_held = transfer.held;
+  a->reported_to = name_hash (coordinator);
   a->reported_ms = timers_now_ms (a->budgets->options.timers);
   transfers_send (a->budgets->transfers, coordinator, &transfer);
 }
@@ -231,17 +240,18 @@
 
 /* While the budget is not ample, the holdings of this host decide whether other hosts refuse requests as exhausted. */
 static bool
-is_report_due (const AccountEntry *a, int64_t now)
+is_report_due (const AccountEntry *a, const char *coordinator, int64_t now)
 {
-  return !a->state.is_ample && held_tokens (a) != a->reported_held
-         && now - a->reported_ms >= REPORT_INTERVAL_MS;
+  bool changed = held_tokens (a) != a->reported_held || name_hash (coordinator) != a->reported_to;
+
+  return !a->state.is_ample && changed && now - a->reported_ms >= REPORT_INTERVAL_MS;
 }
 
 /* A report that is due anyway also returns small surpluses. */
 static void
 return_surplus_and_report (AccountEntry *a, const char *coordinator, int64_t now)
 {
-  bool report_due = is_report_due (a, now);
+  bool report_due = is_report_due (a, coordinator, now);
   Tokens surplus = take_surplus (a, report_due, now);
 
   if (surplus > 0 || report_due)
--- a/tests/unit/budget_fixture.c
+++ b/tests/unit/budget_fixture.c
@@ -61,19 +61,20 @@
   snprintf (name, 32, "host-%d", i);
 }
 
-/* The list has all hosts, also those whose processes are down. */
 static void
 send_host_list (BudgetFixture *f, BudgetHost *h)
 {
   char names[BUDGET_FIXTURE_MAX_HOSTS][32];
   CoordinatorCandidate list[BUDGET_FIXTURE_MAX_HOSTS];
+  size_t n = 0;
 
   for (int i = 0; i < f->n_hosts; i++)
     {
       host_name (i, names[i]);
-      list[i] = (CoordinatorCandidate){ names[i], 0 };
+      if (!f->list_running_only || f->hosts[i].process)
+        list[n++] = (CoordinatorCandidate){ names[i], 0 };
     }
-  budgets_set_hosts (h->budgets, list, (size_t)f->n_hosts);
+  budgets_set_hosts (h->budgets, list, n);
 }
 
 static void
@@ -110,7 +111,8 @@
 budget_fixture_send_host_lists (BudgetFixture *f)
 {
   for (int i = 0; i < f->n_hosts; i++)
-    send_host_list (f, &f->hosts[i]);
+    if (f->hosts[i].process)
+      send_host_list (f, &f->hosts[i]);
 }
 
 BudgetFixture *
--- a/tests/unit/budget_fixture.h
+++ b/tests/unit/budget_fixture.h
@@ -30,6 +30,7 @@
   int n_hosts;
   uint64_t last_incarnation;
   bool withhold_host_list; /* hosts that start do not receive the list of hosts */
+  bool list_running_only;  /* the list lacks hosts whose processes are down */
 } BudgetFixture;
 
 /** The reservation of one request and its outcome. */
@@ -43,7 +44,7 @@
 /** @return a talloc object without a parent: the fixture with @p hosts running hosts. */
 BudgetFixture *budget_fixture_new (int hosts, uint64_t seed);
 
-/** Sends the list of hosts to every host, also while withhold_host_list is set. All hosts must be running. */
+/** Sends the list of hosts to every running host, also while withhold_host_list is set. */
 void budget_fixture_send_host_lists (BudgetFixture *f);
 
 /** Gives every host a configuration that sets one account's limit. */
--- a/tests/unit/test_budget_coordinators.c
+++ b/tests/unit/test_budget_coordinators.c
@@ -197,6 +197,46 @@
   talloc_free (f);
 }
 
+/* Kills the coordinator while host @p holder has most of the account reserved for an open request.
+ * @return why the next coordinator then refuses a request; ERR_NONE if the holder is that coordinator. */
+static ErrKind
+refusal_after_coordinator_is_killed (int holder_offset, int64_t wait_ms)
+{
+  BudgetFixture *f = budget_fixture_new (3, 1);
+  BudgetReservation held;
+  BudgetReservation refused;
+  ErrKind kind = ERR_NONE;
+  int first;
+  int next;
+
+  budget_fixture_configure (f, ACCOUNT, 100000, 1);
+  budget_fixture_run (f, 1000);
+  first = find_coordinator (f, -1);
+  budget_fixture_reserve (f, (first + holder_offset) % 3, ACCOUNT, 90000, &held);
+  budget_fixture_run (f, 5000);
+  CU_ASSERT_EQUAL (held.err, ERR_NONE);
+  budget_fixture_kill (f, first);
+  f->list_running_only = true;
+  budget_fixture_send_host_lists (f);
+  budget_fixture_run (f, wait_ms);
+  next = 3 - first - (first + holder_offset) % 3;
+  budget_fixture_reserve (f, next, ACCOUNT, 50000, &refused);
+  budget_fixture_run (f, 3000);
+  CU_ASSERT_TRUE (refused.decided);
+  kind = refused.err;
+  talloc_free (f);
+  return kind;
+}
+
+/* Guards against a final refusal by a new coordinator that does not know what other hosts hold, because they have reported
+ * it to the coordinator before it and nothing has changed since. */
+static void
+holdings_are_reported_to_a_new_coordinator (void)
+{
+  for (int offset = 1; offset < 3; offset++)
+    CU_ASSERT_EQUAL (refusal_after_coordinator_is_killed (offset, 6000), ERR_BUDGET_HELD);
+}
+
 int
 main (void)
 {
@@ -208,6 +248,7 @@
       next_coordinator_draws_if_the_store_refuses_the_first },
     { "hosts_starting_together_wait_for_the_coordinator",
       hosts_starting_together_wait_for_the_coordinator },
+    { "holdings_are_reported_to_a_new_coordinator", holdings_are_reported_to_a_new_coordinator },
     { "host_without_host_list_draws_for_itself", host_without_host_list_draws_for_itself },
     { "former_coordinator_returns_transferred_tokens",
       former_coordinator_returns_transferred_tokens },
