budget: repeat reports of holdings before they are forgotten

What callers see: an account of which most is reserved for a long stream on one host is refused with 402, which is final, by its coordinator, though those tokens may come back.

Change: unchanged holdings above 0 are reported every 5 s while the budget is not ample.

Test: unchanged_holdings_are_not_forgotten failed before (budget_coordinators: 7 passed, 1 failed) and passes (8 passed, 0 failed).

--- a/src/budget/budgets_transfer.c
+++ b/src/budget/budgets_transfer.c
@@ -10,6 +10,9 @@
 /* Shortest interval between the reports of its holdings that a host sends while the budget is not ample. */
 #define REPORT_INTERVAL_MS 1000
 
+/* Interval of reports of unchanged holdings, before the coordinator ignores the last one. */
+#define REPEAT_INTERVAL_MS (PEER_HOLDING_TTL_MS / 3)
+
 /* After the start of the process, reservations wait at most this long for the list of hosts before they use the
  * store. */
 #define HOST_LIST_WAIT_MS 500
@@ -243,8 +246,10 @@
 is_report_due (const AccountEntry *a, const char *coordinator, int64_t now)
 {
   bool changed = held_tokens (a) != a->reported_held || name_hash (coordinator) != a->reported_to;
+  int64_t interval_ms = changed ? REPORT_INTERVAL_MS : REPEAT_INTERVAL_MS;
 
-  return !a->state.is_ample && changed && now - a->reported_ms >= REPORT_INTERVAL_MS;
+  return !a->state.is_ample && (changed || a->reported_held > 0)
+         && now - a->reported_ms >= interval_ms;
 }
 
 /* A report that is due anyway also returns small surpluses. */
--- a/tests/unit/test_budget_coordinators.c
+++ b/tests/unit/test_budget_coordinators.c
@@ -237,6 +237,28 @@
     CU_ASSERT_EQUAL (refusal_after_coordinator_is_killed (offset, 6000), ERR_BUDGET_HELD);
 }
 
+/* Guards against a final refusal by a coordinator that has forgotten what another host holds, because that host has had
+ * nothing new to report for longer than a report is valid. */
+static void
+unchanged_holdings_are_not_forgotten (void)
+{
+  BudgetFixture *f = budget_fixture_new (3, 1);
+  BudgetReservation held;
+  BudgetReservation refused;
+  int coordinator;
+
+  budget_fixture_configure (f, ACCOUNT, 100000, 1);
+  budget_fixture_run (f, 1000);
+  coordinator = find_coordinator (f, -1);
+  budget_fixture_reserve (f, (coordinator + 1) % 3, ACCOUNT, 90000, &held);
+  budget_fixture_run (f, 30000);
+  budget_fixture_reserve (f, coordinator, ACCOUNT, 50000, &refused);
+  budget_fixture_run (f, 3000);
+  CU_ASSERT_EQUAL (held.err, ERR_NONE);
+  CU_ASSERT_EQUAL (refused.err, ERR_BUDGET_HELD);
+  talloc_free (f);
+}
+
 int
 main (void)
 {
@@ -249,6 +271,7 @@
     { "hosts_starting_together_wait_for_the_coordinator",
       hosts_starting_together_wait_for_the_coordinator },
     { "holdings_are_reported_to_a_new_coordinator", holdings_are_reported_to_a_new_coordinator },
+    { "unchanged_holdings_are_not_forgotten", unchanged_holdings_are_not_forgotten },
     { "host_without_host_list_draws_for_itself", host_without_host_list_draws_for_itself },
     { "former_coordinator_returns_transferred_tokens",
       former_coordinator_returns_transferred_tokens },
