--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -188,6 +188,23 @@
     CU_ASSERT_FALSE (dialect->ops->forwards_response_header (dialect, STRIPPED[i]));
 }
 
+/* Guards against a port that is taken for a part of the host's name, and against an IPv6 address that is cut at its first
+ * colon, so that no route matches it. */
+static void
+port_is_dropped_from_the_host_header (void)
+{
+  static const struct
+  {
+    const char *header;
+    size_t len;
+  } HOSTS[]
+      = { { "a.example", 9 }, { "a.example:80", 9 },        { "10.0.0.1:80", 8 }, { "[::1]", 5 },
+          { "[::1]:80", 5 },  { "[2001:db8::7]:8080", 13 }, { "[::1", 0 },        { ":80", 0 } };
+
+  for (size_t i = 0; i < sizeof HOSTS / sizeof HOSTS[0]; i++)
+    CU_ASSERT_EQUAL (platform_host_name_len (HOSTS[i].header), HOSTS[i].len);
+}
+
 static LimitStatement
 read_limit (const char *const *headers)
 {
@@ -245,6 +262,7 @@
       request_carries_its_server_account_and_deadline },
     { "hop_by_hop_and_load_headers_are_not_forwarded",
       hop_by_hop_and_load_headers_are_not_forwarded },
+    { "port_is_dropped_from_the_host_header", port_is_dropped_from_the_host_header },
     { "only_a_valid_limit_is_applied", only_a_valid_limit_is_applied },
   };
 
