--- a/src/cli/cli_keys.c
+++ b/src/cli/cli_keys.c
@@ -1,3 +1,4 @@
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <termios.h>
@@ -10,11 +11,12 @@
 #include "cli/commands.h"
 #include "cli/exit_codes.h"
 
-#define KEY_BUFFER_BYTES 512 /* for the key, the line end and a zero byte */
+#define KEY_MAX_BYTES    510
+#define KEY_BUFFER_BYTES (KEY_MAX_BYTES + 2) /* for the key, the line end and a zero byte */
 /* Tickets hold an unsalted SHA-256 hash, so a shorter key could be found by brute force. */
 #define KEY_MIN_BYTES    16
 
-/* Reads one line with terminal echo off. @return its length, or -1. */
+/* Reads one line with terminal echo off. @return its length, or -1; more than KEY_MAX_BYTES if it is longer. */
 static int
 read_key (char *key, size_t size)
 {
@@ -37,6 +39,8 @@
     }
   if (!line)
     return -1;
+  if (strlen (key) > KEY_MAX_BYTES && !strchr (key, '\n'))
+    return KEY_MAX_BYTES + 1;
   key[strcspn (key, "\r\n")] = '\0';
   return (int)strlen (key);
 }
@@ -66,14 +70,17 @@
   char key[KEY_BUFFER_BYTES];
   int exit_code;
   int len;
+  bool valid;
 
   if (!cli_args_parse (&args, &argc, &argv, &exit_code))
     return exit_code;
   len = read_key (key, sizeof key);
-  if (len >= KEY_MIN_BYTES)
+  valid = len >= KEY_MIN_BYTES && len <= KEY_MAX_BYTES;
+  if (valid)
     print_hash (key, (size_t)len);
   else
-    fprintf (stderr, "sapphirepond keys: a key must have at least %d bytes\n", KEY_MIN_BYTES);
+    fprintf (stderr, "sapphirepond keys: a key must have %d to %d bytes\n", KEY_MIN_BYTES,
+             KEY_MAX_BYTES);
   OPENSSL_cleanse (key, sizeof key);
-  return len >= KEY_MIN_BYTES ? CLI_OK : CLI_INVALID;
+  return valid ? CLI_OK : CLI_INVALID;
 }
--- a/tests/unit/test_ticket_cli.c
+++ b/tests/unit/test_ticket_cli.c
@@ -1,8 +1,12 @@
 #include "harness.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/mman.h>
+#include <unistd.h>
 
+#include <glib.h>
 #include <talloc.h>
 
 #include "cli/cli_ticket.h"
@@ -90,10 +94,48 @@
   talloc_free (ctx);
 }
 
+/* Runs the command "keys" with a key of @p len bytes on standard input. */
+static int
+run_keys (size_t len)
+{
+  char *argv[] = { "sapphirepond", "keys", NULL };
+  char *key = g_strnfill (len, 'k');
+  int input = memfd_create ("key", MFD_CLOEXEC);
+  int before = dup (STDIN_FILENO);
+  int exit_code;
+
+  CU_ASSERT_EQUAL (write (input, key, len), (ssize_t)len);
+  CU_ASSERT_EQUAL (write (input, "\n", 1), 1);
+  lseek (input, 0, SEEK_SET);
+  dup2 (input, STDIN_FILENO);
+  clearerr (stdin);
+  exit_code = cli_run_quietly (2, argv);
+  while (getchar () != EOF)
+    ;
+  dup2 (before, STDIN_FILENO);
+  close (before);
+  close (input);
+  g_free (key);
+  return exit_code;
+}
+
+/* Guards against the hash of a key that was cut without notice: no client that sends the whole key would be accepted. */
+static void
+keys_of_any_accepted_length_are_hashed_whole (void)
+{
+  CU_ASSERT_EQUAL (run_keys (15), CLI_INVALID);
+  CU_ASSERT_EQUAL (run_keys (16), CLI_OK);
+  CU_ASSERT_EQUAL (run_keys (510), CLI_OK);
+  CU_ASSERT_EQUAL (run_keys (511), CLI_INVALID);
+  CU_ASSERT_EQUAL (run_keys (5000), CLI_INVALID);
+}
+
 int
 main (void)
 {
   static const TestCase CASES[] = {
+    { "keys_of_any_accepted_length_are_hashed_whole",
+      keys_of_any_accepted_length_are_hashed_whole },
     { "commands_have_the_documented_exit_codes", commands_have_the_documented_exit_codes },
     { "only_a_response_of_the_host_itself_is_accepted",
       only_a_response_of_the_host_itself_is_accepted },
