--- a/src/backend/failure.h
+++ b/src/backend/failure.h
@@ -10,6 +10,5 @@
   FAIL_PARTLY_SENT,        /* the server may have received part of the request */
   FAIL_NO_RESPONSE,        /* the request was sent, in a time-out maybe only in part; no response */
   FAIL_RESPONSE_TRUNCATED, /* the response is incomplete or invalid */
-  FAIL_RESPONSE_MISMATCHED, /* the response belongs to another request */
-  N_FAILURE_POINTS
+  FAIL_RESPONSE_MISMATCHED /* the response belongs to another request */
 } FailurePoint;
--- a/src/dispatch/assignments.c
+++ b/src/dispatch/assignments.c
@@ -69,7 +69,6 @@
   pthread_mutex_lock (&d->lock);
   if (!a->first_event_seen)
     update_latency_model (a, (double)(now_ms - a->sent_ms));
-  a->server->last_response_ms = now_ms;
   end_first_event_wait (a);
   pthread_mutex_unlock (&d->lock);
 }
@@ -170,7 +169,7 @@
   if (result == ASSIGNMENT_COMPLETED && !a->closes_connection)
     idle_connections_add (&s->idle_connections, now_ms);
   if (result == ASSIGNMENT_COMPLETED || result == ASSIGNMENT_FAILED)
-    server_add_result (s, result == ASSIGNMENT_FAILED, now_ms);
+    server_add_result (s, result == ASSIGNMENT_FAILED);
   if (result == ASSIGNMENT_UNREACHABLE || result == ASSIGNMENT_MISDIRECTED)
     server_add_connect_failure (s, now_ms);
   a->server = NULL;
--- a/src/dispatch/server.c
+++ b/src/dispatch/server.c
@@ -50,7 +50,6 @@
   double other_requests = running + waiting - s->in_flight;
 
   s->other_requests = other_requests > 0 ? other_requests : 0;
-  s->other_waiting = waiting > s->awaiting_first_event ? waiting - s->awaiting_first_event : 0;
   s->load_reported_ms = now_ms;
 }
 
@@ -76,14 +75,13 @@
 }
 
 void
-server_add_result (Server *s, bool failed, int64_t now_ms)
+server_add_result (Server *s, bool failed)
 {
   s->failure_rate += FAILURE_RATE_WEIGHT * ((failed ? 1.0 : 0.0) - s->failure_rate);
   if (failed)
     return;
   s->connect_failures = 0;
   s->backoff_until_ms = 0;
-  s->last_response_ms = now_ms;
 }
 
 void
--- a/src/dispatch/server.h
+++ b/src/dispatch/server.h
@@ -44,14 +44,11 @@
   int in_flight;
   int awaiting_first_event;      /* requests whose response has not begun */
   Tokens pending_prefill_tokens; /* prompt tokens that the server still has to process for those */
-  int64_t oldest_sent_ms;        /* not used */
-  int64_t last_response_ms;      /* when a response last began, or ended without a failure */
   IdleConnections idle_connections;
 
   /* From the server's load reports. */
   int64_t load_reported_ms; /* 0: never */
   double other_requests;    /* running and waiting requests of other hosts */
-  double other_waiting;     /* waiting requests of other hosts */
 
   /* Learned from responses. */
   /* Moving average of the ratio of measured to expected latency; the expected one includes this factor. */
@@ -85,7 +82,7 @@
 void server_add_connect_failure (Server *server, int64_t now_ms);
 
 /** Counts the result of a request that reached the server. */
-void server_add_result (Server *server, bool failed, int64_t now_ms);
+void server_add_result (Server *server, bool failed);
 
 /** Updates latency_factor with the measured and the expected latency of a response. */
 void server_add_latency_sample (Server *server, double took_ms, double expected_ms);
--- a/src/native/native_dialect.c
+++ b/src/native/native_dialect.c
@@ -22,7 +22,6 @@
 
 #define DEFAULT_DEADLINE_MS 60000
 #define MAX_DEADLINE_MS     600000
-#define POOL_PATH           "/v1/pools/"
 
 typedef struct
 {
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -254,7 +254,6 @@
 
   if (is_stale (a))
     return false;
-  a->head_received = true;
   a->head.status = status;
   r->deps->dialect->ops->decode_response_head (r->deps->dialect, r->request, call, &a->head);
   report_server_state (a, call, now);
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -36,7 +36,6 @@
   RelayResponseHead head;
   ResponseCheck check;
   bool streaming;
-  bool head_received;
   bool end_seen; /* the final event of the stream was received */
   SseParser sse;
   char *body;
