--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -47,6 +47,34 @@
   talloc_free (f);
 }
 
+/* As before, released after each number of steps: also between the grant and the delivery of the result. */
+static void
+reservation_may_be_released_at_any_step (void)
+{
+  bool decided = false;
+
+  for (int steps = 0; !decided && steps < 100; steps++)
+    {
+      BudgetFixture *f = budget_fixture_new (1, 1);
+      BudgetReservation released;
+      BudgetReservation all;
+
+      budget_fixture_configure (f, ACCOUNT, 100000, 1);
+      budget_fixture_reserve (f, 0, ACCOUNT, 40000, &released);
+      for (int i = 0; i < steps; i++)
+        virtual_timers_step (f->vt);
+      decided = released.decided;
+      budget_fixture_settle (f, &released, 0);
+      budget_fixture_run (f, 500);
+      budget_fixture_reserve (f, 0, ACCOUNT, 100000, &all);
+      budget_fixture_run (f, 500);
+      CU_ASSERT_TRUE (all.decided);
+      CU_ASSERT_EQUAL (all.err, ERR_NONE);
+      talloc_free (f);
+    }
+  CU_ASSERT_TRUE (decided);
+}
+
 /* Guards against counting tokens twice when a client gives up as soon as its request has been granted its tokens. */
 static void
 settling_right_after_grant_does_not_count_tokens_twice (void)
@@ -361,6 +389,7 @@
 {
   static const TestCase CASES[] = {
     { "first_reservation_waits_for_a_grant", first_reservation_waits_for_a_grant },
+    { "reservation_may_be_released_at_any_step", reservation_may_be_released_at_any_step },
     { "reservation_may_be_released_while_it_waits", reservation_may_be_released_while_it_waits },
     { "settling_right_after_grant_does_not_count_tokens_twice",
       settling_right_after_grant_does_not_count_tokens_twice },
