budget: read the connection state and the balance without a data race

Cause (findings_by_reading): a store reply writes GrantClient.connected without the lock, and a drain reads balances without it, while worker threads use both.

Change: an atomic flag; the drain takes the lock for the balance.

--- a/src/budget/budgets.c
+++ b/src/budget/budgets.c
@@ -241,6 +241,18 @@
   transfers_announce_drain (b->transfers);
 }
 
+static bool
+has_balance (const AccountEntry *a)
+{
+  Budgets *b = a->budgets;
+  bool has;
+
+  pthread_mutex_lock (&b->lock);
+  has = a->state.balance > 0;
+  pthread_mutex_unlock (&b->lock);
+  return has;
+}
+
 bool
 budgets_return_all (Budgets *b)
 {
@@ -256,7 +268,7 @@
       if (!a->has_budget)
         continue;
       grant_client_close (a->grant_client);
-      if (a->state.balance > 0 || grant_client_is_busy (a->grant_client))
+      if (has_balance (a) || grant_client_is_busy (a->grant_client))
         {
           grant_client_step (a->grant_client);
           busy = true;
--- a/src/budget/grant_client_impl.h
+++ b/src/budget/grant_client_impl.h
@@ -2,6 +2,8 @@
  * (effects of the store's replies). */
 #pragma once
 
+#include <stdatomic.h>
+
 #include "budget/budget_rows.h"
 #include "budget/grant_client.h"
 #include "budget/reconcile.h"
@@ -28,8 +30,8 @@
   StoreCall *call;
   Timer *backoff_timer;
   int64_t backoff_ms;
-  int conflicts; /* consecutive */
-  bool connected;
+  int conflicts;         /* consecutive */
+  atomic_bool connected; /* read without the lock */
 
   int64_t row_version;
   int64_t host_row_version;
--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -1,4 +1,6 @@
 /* Budgets of hosts on one store: grants, refusals and store faults. */
+#include <pthread.h>
+#include <stdatomic.h>
 #include <talloc.h>
 
 #include "budget_fixture.h"
@@ -384,11 +386,57 @@
   talloc_free (f);
 }
 
+/* --- Threads ----------------------------------------------------------------------------- */
+
+typedef struct
+{
+  Budgets *budgets;
+  atomic_bool stop;
+} Reader;
+
+static void *
+read_until_stopped (void *data)
+{
+  Reader *reader = data;
+
+  while (!reader->stop)
+    talloc_free (budgets_describe (reader->budgets, NULL, ACCOUNT));
+  return NULL;
+}
+
+/* Guards against state that store replies and a drain change without the lock while other threads read it. The thread
+ * sanitizer reports it. */
+static void
+other_threads_may_read_while_the_store_comes_and_goes (void)
+{
+  BudgetFixture *f = budget_fixture_new (1, 1);
+  Reader reader = { .budgets = f->hosts[0].budgets };
+  BudgetReservation reservation;
+  pthread_t thread;
+
+  budget_fixture_configure (f, ACCOUNT, 100000, 1);
+  budget_fixture_reserve (f, 0, ACCOUNT, 1000, &reservation);
+  CU_ASSERT_EQUAL_FATAL (pthread_create (&thread, NULL, read_until_stopped, &reader), 0);
+  for (int i = 0; i < 10; i++)
+    {
+      f->hosts[0].store_client->refuse_calls = i % 2;
+      budget_fixture_run (f, 500);
+    }
+  budget_fixture_settle (f, &reservation, 10);
+  budgets_return_all (f->hosts[0].budgets);
+  budget_fixture_run (f, 500);
+  reader.stop = true;
+  pthread_join (thread, NULL);
+  talloc_free (f);
+}
+
 int
 main (void)
 {
   static const TestCase CASES[] = {
     { "first_reservation_waits_for_a_grant", first_reservation_waits_for_a_grant },
+    { "other_threads_may_read_while_the_store_comes_and_goes",
+      other_threads_may_read_while_the_store_comes_and_goes },
     { "reservation_may_be_released_at_any_step", reservation_may_be_released_at_any_step },
     { "reservation_may_be_released_while_it_waits", reservation_may_be_released_while_it_waits },
     { "settling_right_after_grant_does_not_count_tokens_twice",
