operator, cli: status and drain read a summary of a host's state

What operators would see: at the size that is the aim, "sapphirepond drain" says that the host returned no valid state, and starts no drain.

Cause (found while looking at a suspected fault of the response limit): both commands read the whole state, which lists every account at 191 bytes (measured on a small fleet); at 22,000 accounts it is above the 4 MB that they read, at 89,000 it has 17 MB, by arithmetic.

Change: GET /v1/summary has what they need; a host of an earlier version answers 404 and is asked for its state.

Test: the endpoint in test_operator (1 passed, 0 failed).

--- a/src/cli/cli_drain.c
+++ b/src/cli/cli_drain.c
@@ -37,6 +37,7 @@
   const char *address;
   gboolean no_wait;
   DrainStep step;
+  bool has_no_summary; /* a host of an earlier version: its whole state is read */
   char *body;
   size_t len;
   char *incarnation; /* of the process that is draining */
@@ -184,6 +185,11 @@
   talloc_free (exchange);
   if (result != HTTP_COMPLETE)
     on_no_response (d, result);
+  else if (d->step != STEP_START_DRAIN && status == 404 && !d->has_no_summary)
+    {
+      d->has_no_summary = true;
+      send_request (d, d->step);
+    }
   else if (d->step != STEP_START_DRAIN)
     on_state (d);
   else if (status == 202)
@@ -204,8 +210,9 @@
 {
   static const HttpEvents EVENTS = { .body = on_body, .done = on_done };
   bool start_drain = step == STEP_START_DRAIN;
+  const char *state = d->has_no_summary ? "state" : "summary";
   char *url
-      = talloc_asprintf (d->ctx, "http://%s/v1/%s", d->address, start_drain ? "drain" : "state");
+      = talloc_asprintf (d->ctx, "http://%s/v1/%s", d->address, start_drain ? "drain" : state);
   const HttpRequest request = { .method = start_drain ? "POST" : "GET",
                                 .url = url,
                                 .connect_timeout_ms = CONNECT_TIMEOUT_MS,
--- a/src/cli/host_states.c
+++ b/src/cli/host_states.c
@@ -16,6 +16,7 @@
 {
   HostStatesQuery *query;
   HostState *state;
+  bool is_summary; /* a host of an earlier version has no summary: its whole state is read */
   char *body;
   size_t len;
 } StateRequest;
@@ -80,6 +81,7 @@
   return true;
 }
 
+static bool start_request (HostStatesQuery *s, HostState *state, bool is_summary);
 static void start_requests (HostStatesQuery *s);
 
 static void
@@ -87,16 +89,21 @@
 {
   StateRequest *r = data;
   HostStatesQuery *s = r->query;
+  HostState *state = r->state;
+  int status = result == HTTP_COMPLETE ? http_exchange_status (exchange) : 0;
+  bool retry = status == 404 && r->is_summary;
 
-  if (result == HTTP_COMPLETE && http_exchange_status (exchange) == 200 && r->body)
-    host_state_parse (s, r->body, r->len, r->state);
+  if (status == 200 && r->body)
+    host_state_parse (s, r->body, r->len, state);
   talloc_free (r);
+  if (retry && start_request (s, state, false))
+    return;
   s->in_flight--;
   start_requests (s);
 }
 
 static bool
-start_request (HostStatesQuery *s, HostState *state)
+start_request (HostStatesQuery *s, HostState *state, bool is_summary)
 {
   static const HttpEvents EVENTS = { .body = on_body, .done = on_done };
   StateRequest *r = talloc_zero (s, StateRequest);
@@ -106,7 +113,9 @@
 
   r->query = s;
   r->state = state;
-  request.url = talloc_asprintf (r, "http://%s/v1/state", state->operator_address);
+  r->is_summary = is_summary;
+  request.url = talloc_asprintf (r, "http://%s/v1/%s", state->operator_address,
+                                 is_summary ? "summary" : "state");
   if (http_client_start (s->client, r, &request, &EVENTS, r))
     return true;
   talloc_free (r);
@@ -117,7 +126,7 @@
 start_requests (HostStatesQuery *s)
 {
   while (s->in_flight < MAX_IN_FLIGHT && s->next_host < s->n)
-    if (start_request (s, &s->hosts[s->next_host++]))
+    if (start_request (s, &s->hosts[s->next_host++], true))
       s->in_flight++;
   if (s->in_flight == 0)
     s->done (s->data, s->hosts, s->n);
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -168,6 +168,7 @@
   OperatorServerOptions options = { .listen = s->listen_operators,
                                     .is_ready = host_is_ready,
                                     .state_json = host_state_json,
+                                    .summary_json = host_summary_json,
                                     .start_drain = on_drain_request,
                                     .budget_json = host_budget_json,
                                     .data = h };
--- a/src/host/host_impl.h
+++ b/src/host/host_impl.h
@@ -88,4 +88,5 @@
 /* host_state.c: readiness, for the readiness server, and data for the operators' interface. */
 bool host_is_ready (void *data);
 char *host_state_json (void *data, const void *ctx);
+char *host_summary_json (void *data, const void *ctx);
 char *host_budget_json (void *data, const void *ctx, const char *account);
--- a/src/host/host_state.c
+++ b/src/host/host_state.c
@@ -17,29 +17,43 @@
   return ready;
 }
 
-char *
-host_state_json (void *data, const void *ctx)
+/* @return the members of the summary, without braces. */
+static char *
+summary_members (Host *h, const void *ctx)
 {
-  Host *h = data;
   const Catalog *catalog = current_catalog_get (h->catalog);
-  char *servers = dispatch_describe (h->dispatch, ctx, host_now_ms (h));
-  char *budgets = budgets_describe (h->budgets, ctx, NULL);
   size_t hosts;
   char *text;
 
   registry_hosts (h->registry, &hosts);
   text = talloc_asprintf (
       ctx,
-      "{\"host\":\"%s\",\"incarnation\":\"%" PRIx64 "\",\"phase\":\"%s\",\"ready\":%s,"
-      "\"version\":%" PRId64 ",\"hosts\":%zu,\"open_requests\":%zu,\"servers\":%s,\"budgets\":%s}",
+      "\"host\":\"%s\",\"incarnation\":\"%" PRIx64 "\",\"phase\":\"%s\",\"ready\":%s,"
+      "\"version\":%" PRId64 ",\"hosts\":%zu,\"open_requests\":%zu",
       h->settings->host_name, h->incarnation, h->drain_started_ms ? "draining" : "serving",
       host_is_ready (h) ? "true" : "false", catalog ? catalog_version (catalog) : 0, hosts,
-      frontend_open_requests (h->frontend), servers, budgets);
+      frontend_open_requests (h->frontend));
 
   catalog_unref (catalog);
   return text;
 }
 
+char *
+host_summary_json (void *data, const void *ctx)
+{
+  return talloc_asprintf (ctx, "{%s}", summary_members (data, ctx));
+}
+
+char *
+host_state_json (void *data, const void *ctx)
+{
+  Host *h = data;
+
+  return talloc_asprintf (ctx, "{%s,\"servers\":%s,\"budgets\":%s}", summary_members (h, ctx),
+                          dispatch_describe (h->dispatch, ctx, host_now_ms (h)),
+                          budgets_describe (h->budgets, ctx, NULL));
+}
+
 char *
 host_budget_json (void *data, const void *ctx, const char *account)
 {
--- a/src/operator/operator_server.c
+++ b/src/operator/operator_server.c
@@ -70,6 +70,8 @@
     respond_readiness (s, call);
   else if (!strcmp (target, "/v1/state"))
     respond_json (call, 200, s->options.state_json (s->options.data, call));
+  else if (!strcmp (target, "/v1/summary"))
+    respond_json (call, 200, s->options.summary_json (s->options.data, call));
   else if (!strncmp (target, BUDGETS_PREFIX, sizeof BUDGETS_PREFIX - 1))
     respond_budget (s, call, target + sizeof BUDGETS_PREFIX - 1);
   else
--- a/src/operator/operator_server.h
+++ b/src/operator/operator_server.h
@@ -1,6 +1,6 @@
 /** @file
  * HTTP interface of a host for operators, on a separate listening address: /metrics, /healthz, /readyz,
- * /v1/state, /v1/drain, /v1/budgets/<name>. Control loop only. */
+ * /v1/state, /v1/summary, /v1/drain, /v1/budgets/<name>. Control loop only. */
 #pragma once
 
 #include <stdbool.h>
@@ -17,6 +17,8 @@
   bool (*is_ready) (void *data);
   /** @return the state of the host as JSON, a talloc string under @p ctx. */
   char *(*state_json) (void *data, const void *ctx);
+  /** @return the state without servers and budgets, so that its size does not depend on theirs. */
+  char *(*summary_json) (void *data, const void *ctx);
   /** Starts to drain the host. */
   void (*start_drain) (void *data);
   /** @return the budget as JSON, a talloc string under @p ctx, or NULL if there is no such budget. */
--- a/tests/unit/test_operator.c
+++ b/tests/unit/test_operator.c
@@ -23,6 +23,13 @@
   return ((OperatorFixture *)data)->ready;
 }
 
+static char *
+summary_json (void *data, const void *ctx)
+{
+  (void)data;
+  return talloc_strdup (ctx, "{\"summary\":1}");
+}
+
 static char *
 state_json (void *data, const void *ctx)
 {
@@ -97,6 +104,7 @@
   { "GET", "/healthz", 200, "true" },
   { "GET", "/readyz", 503, "false" },
   { "GET", "/v1/state", 200, "{\"host\":\"h\"}" },
+  { "GET", "/v1/summary", 200, "{\"summary\":1}" },
   { "GET", "/v1/budgets/tubes", 200, "{\"limit\":7}" },
   { "GET", "/v1/budgets/none", 404, "unknown_budget" },
   { "GET", "/metrics", 200, "test_pages_total 3" },
@@ -116,6 +124,7 @@
   OperatorServerOptions options = { .listen = "127.0.0.1:0",
                                     .is_ready = is_ready,
                                     .state_json = state_json,
+                                    .summary_json = summary_json,
                                     .start_drain = start_drain,
                                     .budget_json = budget_json,
                                     .data = &f };
