fleet, dispatch: hosts that may only be cut off still count for shared limits

Change: a host that is seen to renew its row and then falls silent counts for an hour for the limits of connections and retries, unless it has deregistered. It is in no list of hosts.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -65,8 +65,9 @@
  * the drain set. */
 void dispatch_expire (Dispatch *dispatch, int64_t now_ms);
 
-/** Sets the hosts that share the limits of servers, connections and retries. */
-void dispatch_set_hosts (Dispatch *dispatch, const ListedHost *hosts, size_t n);
+/** Sets the hosts that share the limits of servers, connections and retries, and the number of hosts that are not in
+ * this list, but may still send requests: they count for the limits of connections and retries. */
+void dispatch_set_hosts (Dispatch *dispatch, const ListedHost *hosts, size_t n, int n_silent);
 
 /** @return the number of usable servers of all services. */
 size_t dispatch_n_usable (Dispatch *dispatch, int64_t now_ms);
--- a/src/dispatch/dispatch_impl.h
+++ b/src/dispatch/dispatch_impl.h
@@ -33,6 +33,7 @@
   PrefixMap *prefixes;
   DrainSet *drain_set;
   HostList *hosts; /* that share the limits of servers, connections and retries */
+  int n_silent_hosts;
   Counter *limit_avoided;
 };
 
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -205,10 +205,11 @@
 }
 
 void
-dispatch_set_hosts (Dispatch *d, const ListedHost *hosts, size_t n)
+dispatch_set_hosts (Dispatch *d, const ListedHost *hosts, size_t n, int n_silent)
 {
   pthread_mutex_lock (&d->lock);
   host_list_set (d->hosts, hosts, n);
+  d->n_silent_hosts = n_silent;
   pthread_mutex_unlock (&d->lock);
 }
 
@@ -235,7 +236,7 @@
 {
   int n = host_list_count (d->hosts);
 
-  return n > 0 ? n : ASSUMED_HOSTS;
+  return n > 0 ? n + d->n_silent_hosts : ASSUMED_HOSTS;
 }
 
 size_t
--- a/src/fleet/registry.c
+++ b/src/fleet/registry.c
@@ -23,6 +23,9 @@
 /* A host whose row has not changed for this many heartbeat intervals is regarded as stopped. */
 #define EXPIRY_HEARTBEATS 3
 
+/* A host without heartbeats may be cut off from the store and still serve clients for this long. */
+#define SILENT_MS (60 * 60 * 1000)
+
 #define MAX_HOST_ROWS 500
 
 typedef struct
@@ -33,7 +36,9 @@
   uint64_t incarnation;
   int64_t version;
   int64_t changed_ms; /* when a change of the row was last read */
+  bool renewed;       /* a change of the row was read after the first time */
   bool expired;       /* the row still exists, but the host is regarded as stopped */
+  bool silent;        /* expired, but may only be cut off from the store */
 } KnownHost;
 
 struct Registry
@@ -79,10 +84,13 @@
     {
       KnownHost *host = value;
 
-      if (host->expired || now - host->changed_ms <= EXPIRY_HEARTBEATS * heartbeat_interval_ms (r))
-        continue;
-      host->expired = true;
-      r->changed = true;
+      int64_t silence_ms = now - host->changed_ms;
+      bool expired = silence_ms > EXPIRY_HEARTBEATS * heartbeat_interval_ms (r);
+      bool silent = expired && host->renewed && silence_ms < SILENT_MS;
+
+      r->changed |= (expired && !host->expired) || silent != host->silent;
+      host->expired |= expired;
+      host->silent = silent;
     }
 }
 
@@ -141,7 +149,9 @@
   if (host)
     {
       r->changed |= host->expired;
+      host->renewed |= host->changed_ms > 0;
       host->expired = false;
+      host->silent = false;
       host->version = row->version;
       host->changed_ms = now;
     }
@@ -198,7 +208,8 @@
           = (RegistryHost){ host->name, host->peer_address, host->data_centre, host->incarnation };
     }
   r->changed = false;
-  log_event (LOG_LEVEL_NOTICE, "fleet", "hosts", "hosts=%zu before=%zu", r->n_hosts, before);
+  log_event (LOG_LEVEL_NOTICE, "fleet", "hosts", "hosts=%zu before=%zu silent=%d", r->n_hosts,
+             before, registry_silent_hosts (r));
   r->options.changed (r->options.data);
 }
 
@@ -291,6 +302,19 @@
   return NULL;
 }
 
+int
+registry_silent_hosts (const Registry *r)
+{
+  GHashTableIter iter;
+  gpointer value;
+  int n = 0;
+
+  g_hash_table_iter_init (&iter, r->known_hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += ((KnownHost *)value)->silent;
+  return n;
+}
+
 const RegistryHost *
 registry_hosts (const Registry *r, size_t *n)
 {
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -47,6 +47,10 @@
   uint64_t incarnation;
 } RegistryHost;
 
+/** @return the number of hosts that have sent no heartbeat for long, but may only be cut off from the store: this host
+ * has seen heartbeats of them, the last one within an hour, and their rows still exist. */
+int registry_silent_hosts (const Registry *registry);
+
 /** @return the hosts whose heartbeats are current, including this one once its row has been read; valid until the
  * next change. */
 const RegistryHost *registry_hosts (const Registry *registry, size_t *n);
--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -77,7 +77,7 @@
   for (size_t i = 0; i < n; i++)
     sharing[i] = (ListedHost){ hosts[i].name, hosts[i].data_centre,
                                host_region_of (h, hosts[i].data_centre) };
-  dispatch_set_hosts (h->dispatch, sharing, n);
+  dispatch_set_hosts (h->dispatch, sharing, n, registry_silent_hosts (h->registry));
   config_source_set_host_count (h->config_source, (int)n);
   budgets_set_hosts (h->budgets, candidates, n_candidates);
   talloc_free (candidates);
--- a/tests/unit/dispatch_fixture.c
+++ b/tests/unit/dispatch_fixture.c
@@ -46,7 +46,7 @@
                                   .policy = policy };
 
       fx->hosts[i] = dispatch_new (fx, &options);
-      dispatch_set_hosts (fx->hosts[i], HOSTS, (size_t)hosts);
+      dispatch_set_hosts (fx->hosts[i], HOSTS, (size_t)hosts, 0);
     }
   for (int i = 0; i < servers; i++)
     dispatch_fixture_publish (fx, i, false);
--- a/tests/unit/limit_fleet.c
+++ b/tests/unit/limit_fleet.c
@@ -111,7 +111,7 @@
             list[n++] = (ListedHost){ h->name, h->data_centre, h->data_centre };
         }
       if (!f->hosts[i].stopped)
-        dispatch_set_hosts (f->hosts[i].dispatch, list, n);
+        dispatch_set_hosts (f->hosts[i].dispatch, list, n, 0);
     }
   talloc_free (list);
 }
--- a/tests/unit/relay_fixture.c
+++ b/tests/unit/relay_fixture.c
@@ -121,7 +121,7 @@
   budget_fixture_configure (f->budgets, ACCOUNT, RELAY_FIXTURE_BUDGET, 1);
   f->backend = fake_backend_new (f);
   f->dispatch = dispatch_new (f, &dispatch);
-  dispatch_set_hosts (f->dispatch, &HOST, 1);
+  dispatch_set_hosts (f->dispatch, &HOST, 1, 0);
   f->body = talloc_strdup (f, "");
   f->headers = talloc_strdup (f, "");
   f->response_quota = (BufferQuota){ .limit_bytes = 1 << 20 };
--- a/tests/unit/test_registry.c
+++ b/tests/unit/test_registry.c
@@ -125,11 +125,36 @@
   talloc_free (f);
 }
 
+/* Guards against hosts that are only cut off from the store and whose parts of shared limits the others take over, and
+ * against rows of hosts long gone that take parts for ever. */
+static void
+silent_hosts_count_for_an_hour (void)
+{
+  RegistryFixture *f = registry_fixture_new (2);
+
+  run_ms (f, 2000);
+  CU_ASSERT_EQUAL (registry_silent_hosts (f->registry), 0);
+  put_host (f, 0, 1);
+  run_ms (f, 60000);
+  CU_ASSERT_EQUAL (host_count (f), 1);
+  CU_ASSERT_EQUAL (registry_silent_hosts (f->registry), 1);
+  put_host (f, 0, 2);
+  run_ms (f, 12000);
+  CU_ASSERT_EQUAL (host_count (f), 2);
+  CU_ASSERT_EQUAL (registry_silent_hosts (f->registry), 0);
+  run_ms (f, 60000);
+  CU_ASSERT_EQUAL (registry_silent_hosts (f->registry), 1);
+  run_ms (f, 60 * 60 * 1000);
+  CU_ASSERT_EQUAL (registry_silent_hosts (f->registry), 0);
+  talloc_free (f);
+}
+
 int
 main (void)
 {
   static const TestCase CASES[] = {
     { "heartbeat_interval_grows_with_the_fleet", heartbeat_interval_grows_with_the_fleet },
+    { "silent_hosts_count_for_an_hour", silent_hosts_count_for_an_hour },
     { "hosts_without_heartbeats_expire", hosts_without_heartbeats_expire },
   };
 
--- /dev/null
+++ b/tests/unit/test_retry_budget.c
@@ -0,0 +1,262 @@
+/* Retries of a service, summed over all hosts of a fleet in every sliding window, while hosts join, stop or are cut off
+ * from the list of hosts. Virtual time. */
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+#include <talloc.h>
+
+#include "core/rng.h"
+#include "dispatch/dispatch.h"
+#include "harness.h"
+
+#define MAX_HOSTS 100
+#define WINDOW_MS 10000
+#define SLICE_MS  100
+#define RATIO     0.2
+#define ALLOWANCE 58
+
+/* Slices of the run. */
+#define RUN_SLICES    600
+#define WINDOW_SLICES (WINDOW_MS / SLICE_MS)
+
+typedef struct
+{
+  int n;
+  Dispatch *hosts[MAX_HOSTS];
+  bool running[MAX_HOSTS];
+  ListedHost list[MAX_HOSTS];
+  CatalogService service;
+  Rng rng;
+  int requests[RUN_SLICES];
+  int retries[RUN_SLICES];
+} Fleet;
+
+static Dispatch *
+start_host (Fleet *f, int i)
+{
+  DispatchOptions options = { .host = f->list[i].name,
+                              .data_centre = "d",
+                              .region = "d",
+                              .retries = { RATIO, WINDOW_MS, ALLOWANCE },
+                              .policy = "least" };
+  static const char *const SERVERS[] = { "server-0", "server-1", "server-2" };
+  Dispatch *d = dispatch_new (f, &options);
+
+  for (size_t k = 0; k < sizeof SERVERS / sizeof SERVERS[0]; k++)
+    {
+      ServerRecord record = {
+        .id = SERVERS[k], .service = "s", .address = SERVERS[k], .data_centre = "d", .version = "v"
+      };
+
+      dispatch_server_changed (d, &record, 0);
+    }
+  return d;
+}
+
+static Fleet *
+fleet_new (int n)
+{
+  Fleet *f = talloc_zero (NULL, Fleet);
+
+  f->n = n;
+  f->service = (CatalogService){ .name = "s" };
+  rng_seed (&f->rng, 1);
+  for (int i = 0; i < n; i++)
+    f->list[i] = (ListedHost){ talloc_asprintf (f, "host-%d", i), "d", "d" };
+  return f;
+}
+
+static void
+start_hosts (Fleet *f, int from, int to)
+{
+  for (int i = from; i < to; i++)
+    {
+      f->hosts[i] = start_host (f, i);
+      f->running[i] = true;
+    }
+}
+
+/* Hosts @p from to @p to are told the hosts up to @p known. */
+static void
+tell_hosts (Fleet *f, int from, int to, int known, int n_silent)
+{
+  for (int i = from; i < to; i++)
+    dispatch_set_hosts (f->hosts[i], f->list, (size_t)known, n_silent);
+}
+
+/* A request that fails on every server and is retried as often as the host allows. */
+static void
+send_failing_request (Fleet *f, int host, int slice)
+{
+  DispatchQuery query = { .service = &f->service, .now_ms = (int64_t)slice * SLICE_MS };
+  Err err = ERR_INIT;
+
+  f->requests[slice]++;
+  for (int attempt = 0; attempt < 3; attempt++)
+    {
+      Assignment *a = dispatch_pick (f->hosts[host], f, &query, &err);
+
+      if (!a)
+        return;
+      f->retries[slice] += attempt > 0;
+      assignment_end (a, ASSIGNMENT_CANCELLED, query.now_ms);
+      query.is_retry = true;
+    }
+}
+
+static void
+run (Fleet *f, int from, int to, double requests_per_s)
+{
+  for (int slice = from; slice < to; slice++)
+    for (double expected = requests_per_s * SLICE_MS / 1000; expected > 0; expected--)
+      {
+        int host = (int)rng_below (&f->rng, (uint64_t)f->n);
+
+        if (f->running[host] && rng_chance (&f->rng, expected))
+          send_failing_request (f, host, slice);
+      }
+}
+
+static int
+sum (const int *slices, int from)
+{
+  int n = 0;
+
+  for (int i = from < 0 ? 0 : from; i < from + WINDOW_SLICES; i++)
+    n += i < RUN_SLICES ? slices[i] : 0;
+  return n;
+}
+
+/* The requests are those of the window, of the one before it or of the one half a window before it. */
+static void
+check_windows (const Fleet *f)
+{
+  int worst = 0;
+
+  for (int from = 0; from + WINDOW_SLICES <= RUN_SLICES; from++)
+    {
+      int requests = sum (f->requests, from);
+      int excess;
+
+      requests = MAX (requests, sum (f->requests, from - WINDOW_SLICES));
+      requests = MAX (requests, sum (f->requests, from - WINDOW_SLICES / 2));
+      excess = sum (f->retries, from) - (int)(RATIO * requests + ALLOWANCE);
+      worst = MAX (worst, excess);
+    }
+  if (worst > 0)
+    fprintf (stderr, "%d hosts: %d retries too many in a window\n", f->n, worst);
+  CU_ASSERT (worst <= 0);
+}
+
+static const double RATES[] = { 2, 20, 200, 1000 };
+
+static const int SIZES[] = { 5, 8, 20, MAX_HOSTS };
+
+/* Runs a case for fleets of several sizes, at several rates. */
+static void
+for_each_fleet (void (*run_case) (Fleet *f, double requests_per_s))
+{
+  for (size_t i = 0; i < sizeof SIZES / sizeof SIZES[0]; i++)
+    for (size_t k = 0; k < sizeof RATES / sizeof RATES[0]; k++)
+      {
+        Fleet *f = fleet_new (SIZES[i]);
+
+        run_case (f, RATES[k]);
+        check_windows (f);
+        talloc_free (f);
+      }
+}
+
+static void
+keep_steady (Fleet *f, double rate)
+{
+  start_hosts (f, 0, f->n);
+  tell_hosts (f, 0, f->n, f->n, 0);
+  run (f, 0, RUN_SLICES, rate);
+}
+
+/* Guards against parts of the allowance that add up to more than it. */
+static void
+retries_of_a_steady_fleet_stay_within_the_limit (void)
+{
+  for_each_fleet (keep_steady);
+}
+
+static void
+let_hosts_join (Fleet *f, double rate)
+{
+  int before = f->n * 4 / 5;
+
+  start_hosts (f, 0, before);
+  tell_hosts (f, 0, before, before, 0);
+  run (f, 0, 200, rate);
+  start_hosts (f, before, f->n);
+  run (f, 200, 205, rate);
+  tell_hosts (f, before, f->n, f->n, 0);
+  run (f, 205, 400, rate);
+  tell_hosts (f, 0, before, f->n, 0);
+  run (f, 400, RUN_SLICES, rate);
+}
+
+/* Guards against hosts that join and use their parts before the others know of them. */
+static void
+retries_stay_within_the_limit_while_hosts_join (void)
+{
+  for_each_fleet (let_hosts_join);
+}
+
+/* The second half of the hosts goes on with the list that it had; the first half learns that these are gone. */
+static void
+cut_hosts_off (Fleet *f, double rate)
+{
+  int half = f->n / 2;
+
+  start_hosts (f, 0, f->n);
+  tell_hosts (f, 0, f->n, f->n, 0);
+  run (f, 0, 200, rate);
+  tell_hosts (f, 0, half, half, f->n - half);
+  run (f, 200, 500, rate);
+  tell_hosts (f, 0, half, f->n, 0);
+  run (f, 500, RUN_SLICES, rate);
+}
+
+/* Guards against hosts that take over the parts of others which are only cut off from the store, and go on sending. */
+static void
+retries_stay_within_the_limit_while_hosts_are_cut_off (void)
+{
+  for_each_fleet (cut_hosts_off);
+}
+
+static void
+restart_all (Fleet *f, double rate)
+{
+  start_hosts (f, 0, f->n);
+  run (f, 0, 50, rate);
+  tell_hosts (f, 0, f->n, f->n, 0);
+  run (f, 50, RUN_SLICES, rate);
+}
+
+/* Guards against a rush of retries after all hosts have restarted together, before they know each other. */
+static void
+retries_stay_within_the_limit_after_a_common_restart (void)
+{
+  for_each_fleet (restart_all);
+}
+
+int
+main (void)
+{
+  static const TestCase CASES[] = {
+    { "retries_of_a_steady_fleet_stay_within_the_limit",
+      retries_of_a_steady_fleet_stay_within_the_limit },
+    { "retries_stay_within_the_limit_while_hosts_join",
+      retries_stay_within_the_limit_while_hosts_join },
+    { "retries_stay_within_the_limit_while_hosts_are_cut_off",
+      retries_stay_within_the_limit_while_hosts_are_cut_off },
+    { "retries_stay_within_the_limit_after_a_common_restart",
+      retries_stay_within_the_limit_after_a_common_restart },
+  };
+
+  return harness_run ("retry_budget", CASES, sizeof CASES / sizeof CASES[0]);
+}
--- a/tests/unit/test_server_limit.c
+++ b/tests/unit/test_server_limit.c
@@ -348,7 +348,7 @@
   Dispatch *d = dispatch_new (NULL, &options);
   Err err = ERR_INIT;
 
-  dispatch_set_hosts (d, &HOST, 1);
+  dispatch_set_hosts (d, &HOST, 1, 0);
   dispatch_server_changed (d, &record, 100000);
   for (int64_t now = 100000; now < 105000; now += 20)
     {
