--- a/tests/unit/test_server_limit.c
+++ b/tests/unit/test_server_limit.c
@@ -364,6 +364,50 @@
   talloc_free (d);
 }
 
+static void
+report (Dispatch *d, int64_t started_ms, LimitStatement statement, int64_t age_ms)
+{
+  ServerInstance instance = { "server", "a", started_ms };
+
+  dispatch_server_limited (d, &instance, statement, age_ms, 100000);
+}
+
+static bool
+is_limited (Dispatch *d)
+{
+  char *text = dispatch_describe (d, NULL, 100000);
+  bool limited = !strstr (text, "\"limit_per_s\":0.0");
+
+  talloc_free (text);
+  return limited;
+}
+
+/* Guards against a limit of an earlier start of the server that applies to the next one, whoever reports it. */
+static void
+limit_belongs_to_one_start_of_its_server (void)
+{
+  ServerRecord record = { .id = "server",
+                          .service = "engine",
+                          .address = "a",
+                          .data_centre = "d",
+                          .version = "v",
+                          .started_ms = 1 };
+  DispatchOptions options = { .host = "host", .data_centre = "d", .region = "d" };
+  Dispatch *d = dispatch_new (NULL, &options);
+
+  dispatch_server_changed (d, &record, 100000);
+  report (d, 1, named (3), 10);
+  CU_ASSERT_TRUE (is_limited (d));
+  record.started_ms = 2;
+  dispatch_server_changed (d, &record, 100000);
+  CU_ASSERT_FALSE (is_limited (d));
+  report (d, 1, named (3), 0);
+  CU_ASSERT_FALSE (is_limited (d));
+  report (d, 2, named (3), 0);
+  CU_ASSERT_TRUE (is_limited (d));
+  talloc_free (d);
+}
+
 /* --- The order of hosts ------------------------------------------------------------------ */
 
 static int
@@ -431,6 +475,7 @@
     { "changes_of_hosts_do_not_add_requests", changes_of_hosts_do_not_add_requests },
     { "changing_limit_is_reported_at_most_once_a_second",
       changing_limit_is_reported_at_most_once_a_second },
+    { "limit_belongs_to_one_start_of_its_server", limit_belongs_to_one_start_of_its_server },
     { "hosts_agree_on_their_order", hosts_agree_on_their_order },
   };
 
