--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -105,15 +105,25 @@
     }
 }
 
+/* @return the requests of one slice; the mean is that of the rate. */
+static int
+draw_requests (Fleet *f, double requests_per_s)
+{
+  double expected = requests_per_s * SLICE_MS / 1000;
+  int whole = (int)expected;
+
+  return whole + rng_chance (&f->rng, expected - whole);
+}
+
 static void
 run (Fleet *f, int from, int to, double requests_per_s)
 {
   for (int slice = from; slice < to; slice++)
-    for (double expected = requests_per_s * SLICE_MS / 1000; expected > 0; expected--)
+    for (int n = draw_requests (f, requests_per_s); n > 0; n--)
       {
         int host = (int)rng_below (&f->rng, (uint64_t)f->n);
 
-        if (f->running[host] && rng_chance (&f->rng, expected))
+        if (f->running[host])
           send_failing_request (f, host, slice);
       }
 }
