relay, platform: log what prompts hold whose exchange a server cut off

A line relay cut_off for each exchange that ended before its response was complete and not by this host: head, events, age of the first event, other requests of this host at the server, and the IDs of all parts but the last, each by itself. No decision changes.

--- a/src/dispatch/assignments.c
+++ b/src/dispatch/assignments.c
@@ -21,6 +21,17 @@
   return a->server->address;
 }
 
+int
+assignment_others_in_flight (const Assignment *a)
+{
+  int n;
+
+  pthread_mutex_lock (&a->dispatch->lock);
+  n = a->server->in_flight - 1;
+  pthread_mutex_unlock (&a->dispatch->lock);
+  return n;
+}
+
 AssignmentLimits
 assignment_limits (const Assignment *a)
 {
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -106,6 +106,9 @@
                            Err *err);
 
 const char *assignment_server (const Assignment *assignment);
+
+/** @return the other requests of this host that are in flight at the server. */
+int assignment_others_in_flight (const Assignment *assignment);
 const char *assignment_address (const Assignment *assignment);
 
 /** What limits of servers had to do with a choice. */
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -293,6 +293,14 @@
   return buffer_body (a->relay, a, bytes, len);
 }
 
+static void
+fail_cut_attempt (Relay *r, Attempt *a, FailurePoint point)
+{
+  relay_report_cut (r, a);
+  fail_attempt (r, a, point,
+                point == FAIL_RESPONSE_TRUNCATED ? ERR_RESPONSE_TRUNCATED : ERR_SERVER_FAILED);
+}
+
 static void
 on_failed (void *data, FailurePoint point, bool timed_out)
 {
@@ -309,6 +317,8 @@
     fail_attempt (r, a, FAIL_RESPONSE_MISMATCHED, ERR_RESPONSE_MISMATCH);
   else if (a->check == RESPONSE_INVALID)
     fail_attempt (r, a, FAIL_RESPONSE_TRUNCATED, ERR_SERVER_FAILED);
+  else if (!timed_out && !failure_proves_not_run (point))
+    fail_cut_attempt (r, a, point);
   else if (point == FAIL_RESPONSE_TRUNCATED)
     fail_attempt (r, a, point, ERR_RESPONSE_TRUNCATED);
   else if (failure_proves_not_run (point))
@@ -365,7 +375,7 @@
   if (a->check != RESPONSE_VALID)
     on_failed (a, FAIL_RESPONSE_TRUNCATED, false);
   else if (a->streaming && !stream_is_complete (r, a))
-    fail_attempt (r, a, FAIL_RESPONSE_TRUNCATED, ERR_RESPONSE_TRUNCATED);
+    fail_cut_attempt (r, a, FAIL_RESPONSE_TRUNCATED);
   else if (a->streaming)
     relay_finish_stream (r);
   else if (may_retry_response (r, a))
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -1,5 +1,5 @@
 /* Internals of the relay: relay.c (budget, deadline, client), relay_attempt.c (server selection, backend
- * events, retries), relay_stream.c (stream events), relay_finish.c (final response, settlement, log). */
+ * events, retries), relay_stream.c (stream events), relay_cut.c (exchanges that were cut off), relay_finish.c (final response, settlement, log). */
 #pragma once
 
 #include "relay/charge.h"
@@ -36,7 +36,8 @@
   RelayResponseHead head;
   ResponseCheck check;
   bool streaming;
-  bool end_seen; /* the final event of the stream was received */
+  bool end_seen;          /* the final event of the stream was received */
+  int64_t first_event_ms; /* when this attempt forwarded an event for the first time; 0: not yet */
   SseParser sse;
   char *body;
   size_t body_len;
@@ -83,6 +84,11 @@
 void relay_start_attempt (Relay *r);
 void relay_end_attempt (Relay *r, AssignmentResult result);
 
+/* relay_cut.c */
+/* The server, or something before it, has ended the exchange before its response was complete. To be called while the
+ * attempt has its assignment. */
+void relay_report_cut (const Relay *r, const Attempt *a);
+
 /* relay_stream.c */
 BackendFlow relay_stream_bytes (Relay *r, Attempt *a, const char *bytes, size_t len);
 
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -43,6 +43,10 @@
   bool hide_usage;     /* the client did not request the usage event of its stream */
   PromptPart parts[DISPATCH_MAX_PARTS];
   size_t n_parts;
+  /** The ids of all parts of the prompt but the last, which other requests may share; each one by itself, whatever
+   * part it follows. */
+  const uint64_t *shared_parts;
+  size_t n_shared_parts;
 } RelayRequest;
 
 /** The decoded head of a server's response. */
--- a/src/relay/relay_stream.c
+++ b/src/relay/relay_stream.c
@@ -43,6 +43,8 @@
 {
   int64_t now = timers_now_ms (r->deps->timers);
 
+  if (!a->first_event_ms)
+    a->first_event_ms = now;
   if (r->events == 1)
     {
       r->first_event_ms = now - r->received_ms;
