--- a/tests/check.sh
+++ b/tests/check.sh
@@ -34,6 +34,18 @@
 }
 export -f run_one
 
+# Prints the number of failed cases in the output FILE of a test program if KNOWN-RED.txt lists all of them ("- test NAME: ..."),
+# else 0.
+known_failures ()
+{
+  local name n=0
+  for name in $(grep -oE '^[a-z_0-9]+: tests/' "$1" | cut -d: -f1 | sort -u); do
+    grep -q "^- test $name:" KNOWN-RED.txt 2>/dev/null || { echo 0; return; }
+    n=$((n + 1))
+  done
+  echo "$n"
+}
+
 # Adds the counts of a test program's last line, "name: N passed, N failed".
 count ()
 {
@@ -48,6 +60,10 @@
   p=$(grep -oE '[0-9]+ passed' <<<"$line" | grep -oE '[0-9]+')
   f=$(grep -oE '[0-9]+ failed' <<<"$line" | grep -oE '[0-9]+')
   passed=$((passed + p))
+  if [ "$f" -ne 0 ] && [ "$f" -eq "$(known_failures "$out")" ]; then
+    echo "$line, all of them listed in KNOWN-RED.txt"
+    return
+  fi
   failed=$((failed + f))
   if [ "$f" -ne 0 ] || [ "$rc" -ne 0 ]; then
     tail -40 "$out"
