--- a/src/dispatch/assignments.c
+++ b/src/dispatch/assignments.c
@@ -21,15 +21,18 @@
   return a->server->address;
 }
 
-int
-assignment_others_in_flight (const Assignment *a)
+AssignmentServer
+assignment_server_state (const Assignment *a)
 {
-  int n;
+  const Server *s = a->server;
+  AssignmentServer state;
 
   pthread_mutex_lock (&a->dispatch->lock);
-  n = a->server->in_flight - 1;
+  state = (AssignmentServer){ .instance = { s->id, s->address, s->started_ms },
+                              .draining = s->draining,
+                              .others_in_flight = s->in_flight - 1 };
   pthread_mutex_unlock (&a->dispatch->lock);
-  return n;
+  return state;
 }
 
 AssignmentLimits
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -41,6 +41,10 @@
   void (*server_limited) (void *data, const ServerInstance *instance, LimitStatement statement,
                           int64_t stated_ms);
   void *server_limited_data;
+  /** Called when the record of a server is gone or was replaced by that of another start, and the server was not
+   * draining. Control loop, without the lock; may be NULL. */
+  void (*server_ended) (void *data, const ServerInstance *instance);
+  void *server_ended_data;
 } DispatchOptions;
 
 /** @return a talloc object under @p ctx. */
@@ -107,8 +111,14 @@
 
 const char *assignment_server (const Assignment *assignment);
 
-/** @return the other requests of this host that are in flight at the server. */
-int assignment_others_in_flight (const Assignment *assignment);
+typedef struct
+{
+  ServerInstance instance; /* valid as long as the assignment */
+  bool draining;
+  int others_in_flight; /* other requests of this host */
+} AssignmentServer;
+
+AssignmentServer assignment_server_state (const Assignment *assignment);
 const char *assignment_address (const Assignment *assignment);
 
 /** What limits of servers had to do with a choice. */
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -109,10 +109,35 @@
   return s->started_ms > 0 && r->started_ms > 0 && r->started_ms < s->started_ms;
 }
 
+/* A copy of the instance of a server that has ended, for a callback without the lock; under @p ctx. */
+static ServerInstance *
+copy_ended (const void *ctx, const Server *s)
+{
+  ServerInstance *copy;
+
+  if (s->draining)
+    return NULL;
+  copy = talloc_zero (ctx, ServerInstance);
+  *copy = (ServerInstance){ .id = talloc_strdup (copy, s->id),
+                            .address = talloc_strdup (copy, s->address),
+                            .started_ms = s->started_ms };
+  return copy;
+}
+
+/* Frees @p ended, which may be NULL. */
+static void
+report_ended (Dispatch *d, ServerInstance *ended)
+{
+  if (ended && d->options.server_ended)
+    d->options.server_ended (d->options.server_ended_data, ended);
+  talloc_free (ended);
+}
+
 void
 dispatch_server_changed (Dispatch *d, const ServerRecord *r, int64_t now_ms)
 {
   Server *s;
+  ServerInstance *ended = NULL;
   ServerInstance instance;
   bool was_draining;
 
@@ -127,6 +152,7 @@
     }
   if (s && is_other_instance (s, r))
     {
+      ended = copy_ended (NULL, s);
       remove_server (d, s);
       s = NULL;
     }
@@ -148,12 +174,14 @@
   instance = instance_of (s);
   s->draining = r->draining || drain_set_contains (d->drain_set, &instance);
   pthread_mutex_unlock (&d->lock);
+  report_ended (d, ended);
 }
 
 void
 dispatch_server_removed (Dispatch *d, const char *id, bool confirmed, int64_t now_ms)
 {
   Server *s;
+  ServerInstance *ended = NULL;
 
   pthread_mutex_lock (&d->lock);
   s = g_hash_table_lookup (d->servers, id);
@@ -164,8 +192,12 @@
   if (s && !confirmed)
     s->removal_grace_until_ms = now_ms + REMOVAL_GRACE_MS;
   else if (s)
-    remove_server (d, s);
+    {
+      ended = copy_ended (NULL, s);
+      remove_server (d, s);
+    }
   pthread_mutex_unlock (&d->lock);
+  report_ended (d, ended);
 }
 
 void
--- a/src/entry/frontend.h
+++ b/src/entry/frontend.h
@@ -23,6 +23,7 @@
   Loop *control_loop;
   CurrentCatalog *catalog;
   Dispatch *dispatch;
+  Quarantine *quarantine;
   Budgets *budgets;
   Dialect *dialect;
 } FrontendOptions;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -72,6 +72,7 @@
 
   timers_start (loop_timers (h->loop), h, TICK_MS, on_tick, h);
   dispatch_expire (h->dispatch, host_now_ms (h));
+  quarantine_tick (h->quarantine, host_now_ms (h));
   host_update_rotation_and_gate (h);
   if (h->drain_started_ms)
     host_advance_drain (h);
@@ -114,6 +115,8 @@
                                .server_draining_data = h,
                                .server_limited = host_on_server_limited,
                                .server_limited_data = h,
+                               .server_ended = host_on_server_ended,
+                               .server_ended_data = h,
                                .seed = h->incarnation };
   BudgetsOptions budgets
       = { .host = s->host_name,
@@ -132,6 +135,7 @@
                       .max_held_pct = BUDGET_MAX_HELD_PCT } };
 
   h->catalog = current_catalog_new (h);
+  host_make_quarantine (h);
   h->dispatch = dispatch_new (h, &dispatch);
   h->budgets = budgets_new (h, &budgets);
 }
@@ -153,6 +157,7 @@
                               .control_loop = h->loop,
                               .catalog = h->catalog,
                               .dispatch = h->dispatch,
+                              .quarantine = h->quarantine,
                               .budgets = h->budgets };
 
   options.dialect = s->platform_interface ? platform_dialect ()
@@ -223,6 +228,7 @@
   h->config_source = s->platform_interface ? platform_config_source_new (h, &source)
                                            : ticket_source_new (h, &source);
   h->registry = registry_new (h, &registry);
+  host_watch_quarantine (h);
 }
 
 /* Components are freed before those that they use: the frontend's requests use the components after it, and their
@@ -235,6 +241,7 @@
   TALLOC_FREE (h->operator_server);
   TALLOC_FREE (h->config_source);
   TALLOC_FREE (h->registry);
+  TALLOC_FREE (h->quarantine_rows);
   TALLOC_FREE (h->budgets);
   TALLOC_FREE (h->peers);
   TALLOC_FREE (h->store);
--- a/src/host/host_impl.h
+++ b/src/host/host_impl.h
@@ -14,6 +14,7 @@
 #include "http/client.h"
 #include "operator/operator_server.h"
 #include "peer/peer_tcp.h"
+#include "quarantine/quarantine_rows.h"
 
 struct Host
 {
@@ -28,6 +29,8 @@
   PeerTcp *peers; /* NULL: this host does not listen for peers */
   CurrentCatalog *catalog;
   Dispatch *dispatch;
+  Quarantine *quarantine;
+  QuarantineRows *quarantine_rows;
   Budgets *budgets;
   Frontend *frontend;
   ReadinessServer *readiness_server;
@@ -75,6 +78,14 @@
 /* @return false if the message is not about backend servers. */
 bool host_on_server_message (Host *h, const Pond__Envelope *envelope);
 
+/* host_quarantine.c: requests under which servers end. */
+void host_make_quarantine (Host *h);
+/* Starts to read and write the rows of the store. */
+void host_watch_quarantine (Host *h);
+void host_on_server_ended (void *data, const ServerInstance *instance);
+/* @return false if the message is not about the quarantine. */
+bool host_on_quarantine_message (Host *h, const Pond__Envelope *envelope);
+
 /* host_rotation.c: whether this host is in the load balancer's rotation, and whether it accepts new connections.
  * Both depend on the load of its network link. */
 void host_init_rotation_and_gate (Host *h);
--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -10,7 +10,8 @@
 {
   Host *h = data;
 
-  if (!host_on_server_message (h, envelope) && !host_on_rotation_message (h, envelope))
+  if (!host_on_server_message (h, envelope) && !host_on_quarantine_message (h, envelope)
+      && !host_on_rotation_message (h, envelope))
     budgets_on_message (h->budgets, envelope);
 }
 
@@ -78,6 +79,7 @@
     sharing[i] = (ListedHost){ hosts[i].name, hosts[i].data_centre,
                                host_region_of (h, hosts[i].data_centre) };
   dispatch_set_hosts (h->dispatch, sharing, n, registry_silent_hosts (h->registry));
+  quarantine_set_hosts (h->quarantine, (int)n);
   config_source_set_host_count (h->config_source, (int)n);
   budgets_set_hosts (h->budgets, candidates, n_candidates);
   talloc_free (candidates);
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -277,6 +277,141 @@
   assert(message->base.descriptor == &pond__server_limited__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pond__request_cut__init
+                     (Pond__RequestCut         *message)
+{
+  static const Pond__RequestCut init_value = POND__REQUEST_CUT__INIT;
+  *message = init_value;
+}
+size_t pond__request_cut__get_packed_size
+                     (const Pond__RequestCut *message)
+{
+  assert(message->base.descriptor == &pond__request_cut__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pond__request_cut__pack
+                     (const Pond__RequestCut *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pond__request_cut__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pond__request_cut__pack_to_buffer
+                     (const Pond__RequestCut *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pond__request_cut__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pond__RequestCut *
+       pond__request_cut__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pond__RequestCut *)
+     protobuf_c_message_unpack (&pond__request_cut__descriptor,
+                                allocator, len, data);
+}
+void   pond__request_cut__free_unpacked
+                     (Pond__RequestCut *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pond__request_cut__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pond__server_ended__init
+                     (Pond__ServerEnded         *message)
+{
+  static const Pond__ServerEnded init_value = POND__SERVER_ENDED__INIT;
+  *message = init_value;
+}
+size_t pond__server_ended__get_packed_size
+                     (const Pond__ServerEnded *message)
+{
+  assert(message->base.descriptor == &pond__server_ended__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pond__server_ended__pack
+                     (const Pond__ServerEnded *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pond__server_ended__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pond__server_ended__pack_to_buffer
+                     (const Pond__ServerEnded *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pond__server_ended__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pond__ServerEnded *
+       pond__server_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pond__ServerEnded *)
+     protobuf_c_message_unpack (&pond__server_ended__descriptor,
+                                allocator, len, data);
+}
+void   pond__server_ended__free_unpacked
+                     (Pond__ServerEnded *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pond__server_ended__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pond__parts_sound__init
+                     (Pond__PartsSound         *message)
+{
+  static const Pond__PartsSound init_value = POND__PARTS_SOUND__INIT;
+  *message = init_value;
+}
+size_t pond__parts_sound__get_packed_size
+                     (const Pond__PartsSound *message)
+{
+  assert(message->base.descriptor == &pond__parts_sound__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pond__parts_sound__pack
+                     (const Pond__PartsSound *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pond__parts_sound__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pond__parts_sound__pack_to_buffer
+                     (const Pond__PartsSound *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pond__parts_sound__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pond__PartsSound *
+       pond__parts_sound__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pond__PartsSound *)
+     protobuf_c_message_unpack (&pond__parts_sound__descriptor,
+                                allocator, len, data);
+}
+void   pond__parts_sound__free_unpacked
+                     (Pond__PartsSound *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pond__parts_sound__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pond__envelope__init
                      (Pond__Envelope         *message)
 {
@@ -803,7 +938,225 @@
   (ProtobufCMessageInit) pond__server_limited__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pond__envelope__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pond__request_cut__field_descriptors[6] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pond__RequestCut, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pond__RequestCut, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Pond__RequestCut, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pond__RequestCut, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Pond__RequestCut, n_parts),
+    offsetof(Pond__RequestCut, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Pond__RequestCut, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pond__request_cut__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  5,   /* field[5] = age_ms */
+  2,   /* field[2] = born_ms */
+  4,   /* field[4] = parts */
+  3,   /* field[3] = request */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange pond__request_cut__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor pond__request_cut__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pond.RequestCut",
+  "RequestCut",
+  "Pond__RequestCut",
+  "pond",
+  sizeof(Pond__RequestCut),
+  6,
+  pond__request_cut__field_descriptors,
+  pond__request_cut__field_indices_by_name,
+  1,  pond__request_cut__number_ranges,
+  (ProtobufCMessageInit) pond__request_cut__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pond__server_ended__field_descriptors[3] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pond__ServerEnded, server),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pond__ServerEnded, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Pond__ServerEnded, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pond__server_ended__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  2,   /* field[2] = born_ms */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange pond__server_ended__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pond__server_ended__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pond.ServerEnded",
+  "ServerEnded",
+  "Pond__ServerEnded",
+  "pond",
+  sizeof(Pond__ServerEnded),
+  3,
+  pond__server_ended__field_descriptors,
+  pond__server_ended__field_indices_by_name,
+  1,  pond__server_ended__number_ranges,
+  (ProtobufCMessageInit) pond__server_ended__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pond__parts_sound__field_descriptors[2] =
+{
+  {
+    "parts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Pond__PartsSound, n_parts),
+    offsetof(Pond__PartsSound, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Pond__PartsSound, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pond__parts_sound__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = parts */
+};
+static const ProtobufCIntRange pond__parts_sound__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pond__parts_sound__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pond.PartsSound",
+  "PartsSound",
+  "Pond__PartsSound",
+  "pond",
+  sizeof(Pond__PartsSound),
+  2,
+  pond__parts_sound__field_descriptors,
+  pond__parts_sound__field_indices_by_name,
+  1,  pond__parts_sound__number_ranges,
+  (ProtobufCMessageInit) pond__parts_sound__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pond__envelope__field_descriptors[12] =
 {
   {
     "from",
@@ -913,6 +1266,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request_cut",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pond__Envelope, body_case),
+    offsetof(Pond__Envelope, request_cut),
+    &pond__request_cut__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server_ended",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pond__Envelope, body_case),
+    offsetof(Pond__Envelope, server_ended),
+    &pond__server_ended__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts_sound",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pond__Envelope, body_case),
+    offsetof(Pond__Envelope, parts_sound),
+    &pond__parts_sound__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pond__envelope__field_indices_by_name[] = {
   3,   /* field[3] = balance_ask */
@@ -920,7 +1309,10 @@
   5,   /* field[5] = balance_leave */
   0,   /* field[0] = from */
   1,   /* field[1] = from_incarnation */
+  11,   /* field[11] = parts_sound */
+  9,   /* field[9] = request_cut */
   7,   /* field[7] = rotation_told */
+  10,   /* field[10] = server_ended */
   6,   /* field[6] = server_leaves */
   8,   /* field[8] = server_limited */
   2,   /* field[2] = to */
@@ -929,7 +1321,7 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor pond__envelope__descriptor =
 {
@@ -939,7 +1331,7 @@
   "Pond__Envelope",
   "pond",
   sizeof(Pond__Envelope),
-  9,
+  12,
   pond__envelope__field_descriptors,
   pond__envelope__field_indices_by_name,
   2,  pond__envelope__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -21,6 +21,9 @@
 typedef struct Pond__ServerLeaves Pond__ServerLeaves;
 typedef struct Pond__RotationTold Pond__RotationTold;
 typedef struct Pond__ServerLimited Pond__ServerLimited;
+typedef struct Pond__RequestCut Pond__RequestCut;
+typedef struct Pond__ServerEnded Pond__ServerEnded;
+typedef struct Pond__PartsSound Pond__PartsSound;
 typedef struct Pond__Envelope Pond__Envelope;
 
 
@@ -137,6 +140,56 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * An exchange of the sender with a backend server was cut off "age_ms" ago, before its answer had shown that it is sound.
+ * "request" is a hash of the request's id, "parts" are the parts of its prompt that other requests may share.
+ */
+struct  Pond__RequestCut
+{
+  ProtobufCMessage base;
+  char *server;
+  char *address;
+  int64_t born_ms;
+  uint64_t request;
+  size_t n_parts;
+  uint64_t *parts;
+  int64_t age_ms;
+};
+#define POND__REQUEST_CUT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pond__request_cut__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
+
+
+/*
+ * Connections to a backend server are refused, or all of the sender's exchanges with it were cut off together.
+ */
+struct  Pond__ServerEnded
+{
+  ProtobufCMessage base;
+  char *server;
+  char *address;
+  int64_t born_ms;
+};
+#define POND__SERVER_ENDED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pond__server_ended__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * A request with these parts, sent "age_ms" ago, has a sound answer.
+ */
+struct  Pond__PartsSound
+{
+  ProtobufCMessage base;
+  size_t n_parts;
+  uint64_t *parts;
+  int64_t age_ms;
+};
+#define POND__PARTS_SOUND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pond__parts_sound__descriptor) \
+    , 0,NULL, 0 }
+
+
 typedef enum {
   POND__ENVELOPE__BODY__NOT_SET = 0,
   POND__ENVELOPE__BODY_BALANCE_ASK = 10,
@@ -144,7 +197,10 @@
   POND__ENVELOPE__BODY_BALANCE_LEAVE = 12,
   POND__ENVELOPE__BODY_SERVER_LEAVES = 13,
   POND__ENVELOPE__BODY_ROTATION_TOLD = 14,
-  POND__ENVELOPE__BODY_SERVER_LIMITED = 15
+  POND__ENVELOPE__BODY_SERVER_LIMITED = 15,
+  POND__ENVELOPE__BODY_REQUEST_CUT = 16,
+  POND__ENVELOPE__BODY_SERVER_ENDED = 17,
+  POND__ENVELOPE__BODY_PARTS_SOUND = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POND__ENVELOPE__BODY__CASE)
 } Pond__Envelope__BodyCase;
 
@@ -162,6 +218,9 @@
     Pond__ServerLeaves *server_leaves;
     Pond__RotationTold *rotation_told;
     Pond__ServerLimited *server_limited;
+    Pond__RequestCut *request_cut;
+    Pond__ServerEnded *server_ended;
+    Pond__PartsSound *parts_sound;
   };
 };
 #define POND__ENVELOPE__INIT \
@@ -283,6 +342,63 @@
 void   pond__server_limited__free_unpacked
                      (Pond__ServerLimited *message,
                       ProtobufCAllocator *allocator);
+/* Pond__RequestCut methods */
+void   pond__request_cut__init
+                     (Pond__RequestCut         *message);
+size_t pond__request_cut__get_packed_size
+                     (const Pond__RequestCut   *message);
+size_t pond__request_cut__pack
+                     (const Pond__RequestCut   *message,
+                      uint8_t             *out);
+size_t pond__request_cut__pack_to_buffer
+                     (const Pond__RequestCut   *message,
+                      ProtobufCBuffer     *buffer);
+Pond__RequestCut *
+       pond__request_cut__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pond__request_cut__free_unpacked
+                     (Pond__RequestCut *message,
+                      ProtobufCAllocator *allocator);
+/* Pond__ServerEnded methods */
+void   pond__server_ended__init
+                     (Pond__ServerEnded         *message);
+size_t pond__server_ended__get_packed_size
+                     (const Pond__ServerEnded   *message);
+size_t pond__server_ended__pack
+                     (const Pond__ServerEnded   *message,
+                      uint8_t             *out);
+size_t pond__server_ended__pack_to_buffer
+                     (const Pond__ServerEnded   *message,
+                      ProtobufCBuffer     *buffer);
+Pond__ServerEnded *
+       pond__server_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pond__server_ended__free_unpacked
+                     (Pond__ServerEnded *message,
+                      ProtobufCAllocator *allocator);
+/* Pond__PartsSound methods */
+void   pond__parts_sound__init
+                     (Pond__PartsSound         *message);
+size_t pond__parts_sound__get_packed_size
+                     (const Pond__PartsSound   *message);
+size_t pond__parts_sound__pack
+                     (const Pond__PartsSound   *message,
+                      uint8_t             *out);
+size_t pond__parts_sound__pack_to_buffer
+                     (const Pond__PartsSound   *message,
+                      ProtobufCBuffer     *buffer);
+Pond__PartsSound *
+       pond__parts_sound__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pond__parts_sound__free_unpacked
+                     (Pond__PartsSound *message,
+                      ProtobufCAllocator *allocator);
 /* Pond__Envelope methods */
 void   pond__envelope__init
                      (Pond__Envelope         *message);
@@ -322,6 +438,15 @@
 typedef void (*Pond__ServerLimited_Closure)
                  (const Pond__ServerLimited *message,
                   void *closure_data);
+typedef void (*Pond__RequestCut_Closure)
+                 (const Pond__RequestCut *message,
+                  void *closure_data);
+typedef void (*Pond__ServerEnded_Closure)
+                 (const Pond__ServerEnded *message,
+                  void *closure_data);
+typedef void (*Pond__PartsSound_Closure)
+                 (const Pond__PartsSound *message,
+                  void *closure_data);
 typedef void (*Pond__Envelope_Closure)
                  (const Pond__Envelope *message,
                   void *closure_data);
@@ -337,6 +462,9 @@
 extern const ProtobufCMessageDescriptor pond__server_leaves__descriptor;
 extern const ProtobufCMessageDescriptor pond__rotation_told__descriptor;
 extern const ProtobufCMessageDescriptor pond__server_limited__descriptor;
+extern const ProtobufCMessageDescriptor pond__request_cut__descriptor;
+extern const ProtobufCMessageDescriptor pond__server_ended__descriptor;
+extern const ProtobufCMessageDescriptor pond__parts_sound__descriptor;
 extern const ProtobufCMessageDescriptor pond__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/src/quarantine/evidence.h
@@ -0,0 +1,77 @@
+/** @file
+ * Decides which requests are to blame for the ends of servers. Answers the load in which requests with one key in
+ * common end every server that begins to answer them, among sound requests that share their other keys, and servers
+ * that end for reasons of their own.
+ *
+ * An exchange that is cut off before its answer is known to be sound is recorded for each of its keys. The record
+ * counts once its server is proved to have ended. A sound answer to a request that was sent later removes the record
+ * from the keys of that request. A key with ends at three different times is to blame, unless so many keys are that the
+ * servers must be. No I/O, no clock. Lock "quarantine". */
+#pragma once
+
+#include <stddef.h>
+
+#include "quarantine/quarantine_key.h"
+
+/** Ends of servers, at different times, after which a key is to blame. */
+#define EVIDENCE_ENDS 3
+
+#define EVIDENCE_MAX_RECORDS 8
+
+typedef struct Evidence Evidence;
+
+/** An exchange that was cut off. */
+typedef struct
+{
+  const QuarantineKey *keys; /* the later ones are the more specific ones */
+  size_t n_keys;
+  uint64_t instance; /* hash of the server's start */
+  uint64_t request;  /* hash of the request's id */
+  int64_t cut_ms;
+} EvidenceCut;
+
+/** Why a key is to blame. */
+typedef struct
+{
+  QuarantineKey key;
+  int ends;
+  uint64_t instances[EVIDENCE_MAX_RECORDS]; /* of the servers that ended, hashes */
+  size_t n_instances;
+  int64_t first_ms; /* the first of the ends */
+} EvidenceVerdict;
+
+/** @return a talloc object under @p ctx that keeps at most @p max_keys keys. */
+Evidence *evidence_new (const void *ctx, size_t max_keys);
+
+/** @return the number of keys with records. */
+size_t evidence_n_keys (const Evidence *evidence);
+
+void evidence_add_cut (Evidence *evidence, const EvidenceCut *cut);
+
+/** The server has ended, whatever it was that ended it. @return the number of keys that this concerns. */
+size_t evidence_add_end (Evidence *evidence, uint64_t instance, int64_t now_ms);
+
+/** @return whether the server is known to have ended. */
+bool evidence_has_ended (const Evidence *evidence, uint64_t instance);
+
+/** A request with these keys that was sent at @p sent_ms has a sound answer. @return whether a record was removed. */
+bool evidence_add_sound (Evidence *evidence, const QuarantineKey *keys, size_t n_keys,
+                         int64_t sent_ms);
+
+/** Other hosts have seen these servers end under requests with the key, at different times. */
+void evidence_add_told (Evidence *evidence, QuarantineKey key, const uint64_t *instances, size_t n,
+                        int64_t now_ms);
+
+/** @return whether a key, each once, is one end short of blame, and has not been cleared for a while. */
+bool evidence_next_suspect (Evidence *evidence, int64_t now_ms, EvidenceVerdict *suspect);
+
+/** Removes records that are too old to count. */
+void evidence_expire (Evidence *evidence, int64_t now_ms);
+
+/** @return whether a key is to blame. Its records are removed then, and those of the same ends from all other keys.
+ * @param n_blamed set to the number of groups of keys that may be to blame; above
+ * EVIDENCE_MAX_BLAMED none of them is. */
+bool evidence_judge (Evidence *evidence, int64_t now_ms, EvidenceVerdict *verdict,
+                     size_t *n_blamed);
+
+#define EVIDENCE_MAX_BLAMED 3
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -119,6 +119,7 @@
   r->deadline_ms = received_ms + time_limit_ms (request);
   r->first_event_ms = -1;
   r->usage = -1;
+  relay_set_keys (r);
   r->deadline = timers_start (deps->timers, r, r->deadline_ms - now, on_deadline, r);
   r->starting = true;
   reserve_budget (r);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -7,6 +7,7 @@
 #include "budget/budgets.h"
 #include "core/timers.h"
 #include "dispatch/dispatch.h"
+#include "quarantine/quarantine.h"
 #include "relay/buffer_quota.h"
 #include "relay/dialect.h"
 #include "relay/relay_request.h"
@@ -39,6 +40,7 @@
   Executor executor; /* posts to the worker's own loop */
   Backend *backend;
   Dispatch *dispatch;
+  Quarantine *quarantine;
   Budgets *budgets;
   Dialect *dialect;
   size_t max_response_bytes;   /* limit of a response that is not streamed */
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -84,7 +84,8 @@
   Assignment *assignment;
 
   fill_query (r, &query);
-  assignment = dispatch_pick (r->deps->dispatch, r, &query, &err);
+  assignment = relay_check_quarantine (r, &err) ? dispatch_pick (r->deps->dispatch, r, &query, &err)
+                                                : NULL;
   if (!assignment)
     {
       relay_finish_error (r, &err);
@@ -309,6 +310,8 @@
 
   if (is_stale (a))
     return;
+  if (a->check == RESPONSE_MISDIRECTED || (point == FAIL_CONNECT && !timed_out))
+    relay_report_refused (r, a);
   /* These responses prove that the server did not run the request, however the exchange ended. */
   if (a->check == RESPONSE_NOT_RUN || a->check == RESPONSE_MISDIRECTED)
     fail_attempt (r, a, FAIL_REJECTED,
--- a/src/relay/relay_cut.c
+++ b/src/relay/relay_cut.c
@@ -2,12 +2,79 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <string.h>
+
+#include <talloc.h>
+#include <xxhash.h>
 
 #include "core/log.h"
 
 /* Size of the text of a list of prompt parts. */
 #define PARTS_BYTES 280
 
+void
+relay_set_keys (Relay *r)
+{
+  const RelayRequest *q = r->request;
+  size_t n = q->n_shared_parts < QUARANTINE_MAX_KEYS ? q->n_shared_parts : QUARANTINE_MAX_KEYS;
+
+  if (n < q->n_shared_parts)
+    log_event (LOG_LEVEL_NOTICE, "relay", "parts_ignored", "id=%s parts=%zu", q->id,
+               q->n_shared_parts - n);
+  r->keys = talloc_array (r, QuarantineKey, n);
+  for (size_t i = 0; i < n; i++)
+    r->keys[r->n_keys++]
+        = (QuarantineKey){ .kind = QUARANTINE_PROMPT_PART, .id = q->shared_parts[i] };
+}
+
+bool
+relay_check_quarantine (const Relay *r, Err *err)
+{
+  QuarantineRefusal refusal;
+
+  if (quarantine_allows (r->deps->quarantine, r->keys, r->n_keys, timers_now_ms (r->deps->timers),
+                         &refusal))
+    return true;
+  err_set (err, ERR_QUARANTINED, "servers have ended under requests with %s %" PRIx64,
+           quarantine_kind_name (refusal.key.kind), refusal.key.id);
+  err->retry_after_ms = refusal.retry_after_ms;
+  return false;
+}
+
+void
+relay_report_sound (const Relay *r, Attempt *a)
+{
+  if (a->sound)
+    return;
+  a->sound = true;
+  quarantine_add_sound (r->deps->quarantine, r->keys, r->n_keys, a->started_ms,
+                        timers_now_ms (r->deps->timers));
+}
+
+/* Without a length and without chunks a response ends with its connection, also if its server has ended. */
+static bool
+has_provable_end (const Attempt *a)
+{
+  return a->end_seen || backend_header (a->call, "Content-Length")
+         || backend_header (a->call, "Transfer-Encoding");
+}
+
+void
+relay_report_complete (const Relay *r, Attempt *a)
+{
+  if (a->head.status < 300 && has_provable_end (a))
+    relay_report_sound (r, a);
+}
+
+void
+relay_report_refused (const Relay *r, const Attempt *a)
+{
+  AssignmentServer server = assignment_server_state (a->assignment);
+
+  quarantine_add_end (r->deps->quarantine, &server.instance, QUARANTINE_END_REFUSED,
+                      timers_now_ms (r->deps->timers));
+}
+
 static void
 format_parts (const RelayRequest *q, char text[PARTS_BYTES])
 {
@@ -28,14 +95,23 @@
 void
 relay_report_cut (const Relay *r, const Attempt *a)
 {
+  const RelayRequest *q = r->request;
   int64_t now = timers_now_ms (r->deps->timers);
+  AssignmentServer server = assignment_server_state (a->assignment);
+  QuarantineCut cut = { .server = server.instance,
+                        .request = XXH64 (q->id, strlen (q->id), 0),
+                        .keys = r->keys,
+                        .n_keys = a->sound ? 0 : r->n_keys,
+                        .others_in_flight = server.others_in_flight };
   char parts[PARTS_BYTES];
 
-  format_parts (r->request, parts);
+  format_parts (q, parts);
   log_event (LOG_LEVEL_INFO, "relay", "cut_off",
              "id=%s server=%s head=%d events=%" PRId64 " event_age_ms=%" PRId64
-             " in_flight=%d shared_parts=%zu parts=%s",
-             r->request->id, r->server, a->head.status > 0, r->events,
-             a->first_event_ms ? now - a->first_event_ms : -1,
-             assignment_others_in_flight (a->assignment), r->request->n_shared_parts, parts);
+             " sound=%d in_flight=%d draining=%d shared_parts=%zu parts=%s",
+             q->id, r->server, a->head.status > 0, r->events,
+             a->first_event_ms ? now - a->first_event_ms : -1, a->sound, server.others_in_flight,
+             server.draining, q->n_shared_parts, parts);
+  if (!server.draining)
+    quarantine_add_cut (r->deps->quarantine, &cut, now);
 }
--- a/src/relay/relay_finish.c
+++ b/src/relay/relay_finish.c
@@ -211,6 +211,7 @@
   size_t n;
   RelayHeader *headers = relay_headers_to_forward (a, r, a->call, &n);
 
+  relay_report_complete (r, a);
   a->call = NULL;
   r->runs++;
   r->status = a->head.status;
@@ -236,6 +237,7 @@
       r->status = a->head.status;
       r->client->begin (r->client_data, a->head.status, headers, n);
     }
+  relay_report_complete (r, a);
   a->call = NULL;
   r->runs++;
   relay_end_attempt (r, ASSIGNMENT_COMPLETED);
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -38,6 +38,7 @@
   bool streaming;
   bool end_seen;          /* the final event of the stream was received */
   int64_t first_event_ms; /* when this attempt forwarded an event for the first time; 0: not yet */
+  bool sound;             /* relay_report_sound() was called */
   SseParser sse;
   char *body;
   size_t body_len;
@@ -57,7 +58,9 @@
   Timer *deadline;
   Reservation *reservation;
   Tokens reserved;
-  Charge charge; /* set by the settlement */
+  Charge charge;       /* set by the settlement */
+  QuarantineKey *keys; /* what it has in common with other requests */
+  size_t n_keys;
   Attempt *attempt;
   char *tried[DISPATCH_MAX_TRIED]; /* ids of the servers of failed attempts */
   size_t n_tried;
@@ -85,6 +88,15 @@
 void relay_end_attempt (Relay *r, AssignmentResult result);
 
 /* relay_cut.c */
+void relay_set_keys (Relay *r);
+/* @return whether the request may be sent to a server. */
+bool relay_check_quarantine (const Relay *r, Err *err);
+/* The answer has come so far that its server will not end under the request. */
+void relay_report_sound (const Relay *r, Attempt *a);
+/* An exchange has ended with a complete response. */
+void relay_report_complete (const Relay *r, Attempt *a);
+/* No connection to the server: it may have ended. */
+void relay_report_refused (const Relay *r, const Attempt *a);
 /* The server, or something before it, has ended the exchange before its response was complete. To be called while the
  * attempt has its assignment. */
 void relay_report_cut (const Relay *r, const Attempt *a);
--- a/src/relay/relay_stream.c
+++ b/src/relay/relay_stream.c
@@ -7,6 +7,9 @@
 #include "core/counter.h"
 #include "relay/relay_counters.h"
 
+/* A server that ends as it begins an answer does so before this time after the first event. */
+#define SOUND_ANSWER_MS 250
+
 /* @return the value of the event's id field; NULL if it has none. */
 static const char *
 event_id (const char *event, size_t len, size_t *id_len)
@@ -59,6 +62,8 @@
         r->max_gap_ms = gap;
     }
   r->last_event_ms = now;
+  if (now - a->first_event_ms >= SOUND_ANSWER_MS)
+    relay_report_sound (r, a);
   assignment_report_first_event (a->assignment, now);
 }
 
--- a/tests/unit/crash_fleet.c
+++ b/tests/unit/crash_fleet.c
@@ -9,6 +9,8 @@
 
 #include "platform/platform_dialect.h"
 
+#define MESSAGE_MS         10 /* from a host to another one */
+#define TICK_MS            100
 #define DELAY_MS           5    /* from a host to a server */
 #define PREFILL_MS         60   /* from the arrival to the first event, at least */
 #define MORE_MS            100  /* at most this longer */
@@ -82,6 +84,7 @@
   FleetRequest *r = data;
 
   r->fleet->counts.whole += !r->crashes;
+  r->fleet->part_answered += r->crashes;
 }
 
 static void
@@ -216,13 +219,13 @@
   c->timer = NULL;
   c->point = FAIL_RESPONSE_TRUNCATED;
   c->events->headers (c->data, &c->call, 200);
-  if (r->crashes)
+  if (r->crashes && !f->part_is_sound)
     {
       g_array_append_val (f->crashes, now);
       end_server (f, c->server);
       return;
     }
-  if (!r->begun && r->sends == 1)
+  if (!r->crashes && !r->begun && r->sends == 1)
     f->counts.begun++;
   r->begun = true;
   on_event_due (c);
@@ -304,6 +307,8 @@
 
   if (!strcasecmp (name, "X-Request-Id"))
     return c->request->id;
+  if (!strcasecmp (name, "Transfer-Encoding"))
+    return "chunked";
   return strcasecmp (name, "X-Response-Seal") ? NULL : "s";
 }
 
@@ -340,6 +345,97 @@
   timers_start (h->fleet->clock, h->fleet, 0, fn, data);
 }
 
+typedef struct
+{
+  CrashFleetHost *to;
+  QuarantineNotice notice; /* its strings and keys are copies */
+} FleetMessage;
+
+static void
+on_message (void *data)
+{
+  FleetMessage *m = data;
+
+  quarantine_apply (m->to->quarantine, &m->notice, crash_fleet_now_ms (m->to->fleet));
+  talloc_free (m);
+}
+
+static void
+send_message (CrashFleetHost *to, const QuarantineNotice *notice)
+{
+  FleetMessage *m = talloc_zero (to->fleet, FleetMessage);
+
+  m->to = to;
+  m->notice = *notice;
+  m->notice.server.id = talloc_strdup (m, notice->server.id);
+  m->notice.server.address = talloc_strdup (m, notice->server.address);
+  m->notice.keys = talloc_memdup (m, notice->keys, notice->n_keys * sizeof notice->keys[0]);
+  to->fleet->messages++;
+  timers_start (to->fleet->clock, m, MESSAGE_MS, on_message, m);
+}
+
+static void
+on_tell (void *data, const QuarantineNotice *notice)
+{
+  CrashFleetHost *from = data;
+  CrashFleet *f = from->fleet;
+
+  for (int i = 0; i < f->options.hosts; i++)
+    if (&f->hosts[i] != from && f->hosts[i].group == from->group)
+      send_message (&f->hosts[i], notice);
+}
+
+static void
+on_server_ended (void *data, const ServerInstance *instance)
+{
+  CrashFleetHost *h = data;
+
+  quarantine_add_end (h->quarantine, instance, QUARANTINE_END_RECORD,
+                      crash_fleet_now_ms (h->fleet));
+}
+
+static void
+on_tick (void *data)
+{
+  CrashFleet *f = data;
+
+  timers_start (f->clock, f, TICK_MS, on_tick, f);
+  for (int i = 0; i < f->options.hosts; i++)
+    quarantine_tick (f->hosts[i].quarantine, crash_fleet_now_ms (f));
+}
+
+static void
+make_quarantine (CrashFleetHost *h)
+{
+  CrashFleet *f = h->fleet;
+  QuarantineOptions options = { .seed = rng_next (&f->rng), .tell = on_tell, .data = h };
+  QuarantineRowsOptions rows = { .store = &h->store->store, .timers = f->clock, .rng = &f->rng };
+
+  h->quarantine = quarantine_new (f, &options);
+  quarantine_set_hosts (h->quarantine, f->options.hosts);
+  rows.quarantine = h->quarantine;
+  h->rows = quarantine_rows_new (f, &rows);
+  h->deps.quarantine = h->quarantine;
+}
+
+void
+crash_fleet_restart_hosts (CrashFleet *f)
+{
+  for (int i = 0; i < f->options.hosts; i++)
+    {
+      TALLOC_FREE (f->hosts[i].rows);
+      TALLOC_FREE (f->hosts[i].quarantine);
+      make_quarantine (&f->hosts[i]);
+    }
+}
+
+void
+crash_fleet_split (CrashFleet *f, int groups)
+{
+  for (int i = 0; i < f->options.hosts; i++)
+    f->hosts[i].group = i % groups;
+}
+
 static void
 add_host (CrashFleet *f, int number)
 {
@@ -349,7 +445,9 @@
                               .region = h->data_centre,
                               .region_of = region_of,
                               .retries = { 0.2, 10000, 58 },
-                              .policy = "cost" };
+                              .policy = "cost",
+                              .server_ended = on_server_ended,
+                              .server_ended_data = h };
 
   h->fleet = f;
   snprintf (h->name, sizeof h->name, "host-%d", number);
@@ -365,6 +463,9 @@
                          .dialect = platform_dialect (),
                          .max_response_bytes = 4096,
                          .response_quota = &h->response_quota };
+  h->store = fake_store_client_new (f->store);
+  h->store->latency_ms = 10;
+  make_quarantine (h);
 }
 
 static void
@@ -412,11 +513,13 @@
   f->timers = virtual_timers_new (f, 100000);
   f->clock = virtual_timers_service (f->timers);
   f->crashing_part = 0xdead;
+  f->store = fake_store_new (f, f->clock, &f->rng);
   f->crashes = g_array_new (FALSE, FALSE, sizeof (int64_t));
   f->arrivals = g_array_new (FALSE, FALSE, sizeof (int64_t));
   rng_seed (&f->rng, options->seed);
   add_hosts (f);
   add_servers (f);
+  on_tick (f);
   return f;
 }
 
@@ -433,7 +536,10 @@
   g_array_free (f->crashes, TRUE);
   g_array_free (f->arrivals, TRUE);
   for (int i = 0; i < f->options.hosts; i++)
-    TALLOC_FREE (f->hosts[i].dispatch);
+    {
+      TALLOC_FREE (f->hosts[i].rows);
+      TALLOC_FREE (f->hosts[i].dispatch);
+    }
   catalog_unref (f->catalog);
   talloc_free (f);
 }
--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -6,7 +6,9 @@
 #include <glib.h>
 
 #include "core/rng.h"
+#include "fakes/fake_store.h"
 #include "fakes/virtual_timers.h"
+#include "quarantine/quarantine_rows.h"
 #include "relay/relay.h"
 
 typedef struct
@@ -27,6 +29,10 @@
   char data_centre[24];
   Backend backend;
   Dispatch *dispatch;
+  Quarantine *quarantine;
+  QuarantineRows *rows;
+  FakeStoreClient *store;
+  int group; /* hosts reach those of their group only */
   BufferQuota response_quota;
   RelayDeps deps;
 } CrashFleetHost;
@@ -64,11 +70,15 @@
   Rng rng;
   double crashing_per_s; /* requests that end the servers that answer them */
   uint64_t crashing_part;
+  bool part_is_sound; /* its requests are answered */
+  FakeStore *store;
+  int part_answered; /* requests with the part that were answered completely */
   int64_t next_request_id;
   GArray *crashes;  /* int64_t: when a server ended under such a request */
   GArray *arrivals; /* int64_t: when such a request reached a server that runs */
   CrashFleetCounts counts;
-  int last_status; /* of the last refused request that crashes servers */
+  int64_t messages; /* from host to host */
+  int last_status;  /* of the last refused request that crashes servers */
 };
 
 CrashFleet *crash_fleet_new (const CrashFleetOptions *options);
@@ -80,6 +90,12 @@
 /** @return the current time. */
 int64_t crash_fleet_now_ms (const CrashFleet *f);
 
+/** From now on, hosts reach only every n-th host. All reach the store. */
+void crash_fleet_split (CrashFleet *f, int groups);
+
+/** Starts all hosts again: they have forgotten what they knew of requests. */
+void crash_fleet_restart_hosts (CrashFleet *f);
+
 /** Ends a server that has nothing to do with any request. */
 void crash_fleet_end_server (CrashFleet *f, int server);
 
--- a/tests/unit/relay_fixture.c
+++ b/tests/unit/relay_fixture.c
@@ -122,6 +122,7 @@
   f->backend = fake_backend_new (f);
   f->dispatch = dispatch_new (f, &dispatch);
   dispatch_set_hosts (f->dispatch, &HOST, 1, 0);
+  f->quarantine = quarantine_new (f, &(QuarantineOptions){ .seed = 1 });
   f->body = talloc_strdup (f, "");
   f->headers = talloc_strdup (f, "");
   f->response_quota = (BufferQuota){ .limit_bytes = 1 << 20 };
@@ -129,6 +130,7 @@
                          .executor = { post, f },
                          .backend = &f->backend->backend,
                          .dispatch = f->dispatch,
+                         .quarantine = f->quarantine,
                          .budgets = f->budgets->hosts[0].budgets,
                          .dialect = platform_dialect (),
                          .max_response_bytes = 4096,
--- a/tests/unit/relay_fixture.h
+++ b/tests/unit/relay_fixture.h
@@ -15,6 +15,7 @@
   BudgetFixture *budgets;
   FakeBackend *backend;
   Dispatch *dispatch;
+  Quarantine *quarantine;
   const Catalog *catalog;
   const CatalogService *service;
   RelayDeps deps;
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -205,6 +205,35 @@
     CU_ASSERT_EQUAL (platform_host_name_len (HOSTS[i].header), HOSTS[i].len);
 }
 
+/* Guards against a part that is not recognised behind other parts, after many of them, or in a malformed list. */
+static void
+parts_of_a_prompt_are_recognised_wherever_they_stand (void)
+{
+  static const struct
+  {
+    const char *header;
+    size_t n;
+    size_t at; /* of the part dead */
+  } LISTS[] = {
+    { "dead:10,1:2", 2, 0 },
+    { "5:1,7:2,dead:10,1:2", 4, 2 },
+    { "1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,DEAD:1,2:1", 19, 17 },
+    { "zz,00dead:x, 1:2", 3, 1 },
+    { "1:2,\tdead,3", 3, 1 },
+  };
+
+  for (size_t i = 0; i < sizeof LISTS / sizeof LISTS[0]; i++)
+    {
+      void *ctx = talloc_new (NULL);
+      size_t n;
+      const uint64_t *ids = platform_prompt_parts (ctx, LISTS[i].header, &n);
+
+      CU_ASSERT_EQUAL (n, LISTS[i].n);
+      CU_ASSERT_EQUAL (ids[LISTS[i].at], 0xdead);
+      talloc_free (ctx);
+    }
+}
+
 static LimitStatement
 read_limit (const char *const *headers)
 {
@@ -254,6 +283,8 @@
 main (void)
 {
   static const TestCase CASES[] = {
+    { "parts_of_a_prompt_are_recognised_wherever_they_stand",
+      parts_of_a_prompt_are_recognised_wherever_they_stand },
     { "server_row_is_parsed_into_the_right_fields", server_row_is_parsed_into_the_right_fields },
     { "invalid_server_rows_are_rejected", invalid_server_rows_are_rejected },
     { "response_to_another_request_is_ignored", response_to_another_request_is_ignored },
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -1,8 +1,12 @@
 /* Requests that end the servers which run them. */
 #include <stdio.h>
+#include <string.h>
+
+#include <talloc.h>
 
 #include "crash_fleet.h"
 #include "harness.h"
+#include "relay_fixture.h"
 
 /* Time after the fifth end in which the requests must be stopped, and what may still reach a server then. */
 #define CONTACT_MS   3000
@@ -22,6 +26,13 @@
 
 #define N_RATES (sizeof RATES / sizeof RATES[0])
 
+/* Enough for a dozen such requests. */
+static int64_t
+play_ms (double crashing_per_s)
+{
+  return crashing_per_s < 1 ? 25000 : 12000;
+}
+
 static int64_t
 fifth_crash_ms (const CrashFleet *f)
 {
@@ -50,19 +61,230 @@
 
       crash_fleet_run (f, 3000);
       f->crashing_per_s = RATES[i % N_RATES];
-      crash_fleet_run (f, 25000);
+      crash_fleet_run (f, play_ms (f->crashing_per_s));
       CU_ASSERT (f->crashes->len > 0);
       check_stopped (f);
       crash_fleet_free (f);
     }
 }
 
+/* Starts a fleet whose hosts have stopped the part. */
+static CrashFleet *
+start_stopped (const CrashFleetOptions *options)
+{
+  CrashFleet *f = crash_fleet_new (options);
+
+  crash_fleet_run (f, 3000);
+  f->crashing_per_s = 3;
+  crash_fleet_run (f, 12000);
+  return f;
+}
+
+/* Guards against stopping the route, the first part or the account together with the guilty part. */
+static void
+sound_requests_go_on_while_a_part_is_stopped (void)
+{
+  for (size_t i = 0; i < N_FLEETS; i++)
+    {
+      CrashFleet *f = start_stopped (&FLEETS[i]);
+
+      f->counts = (CrashFleetCounts){ 0 };
+      crash_fleet_run (f, 10000);
+      CU_ASSERT_EQUAL (f->counts.refused, 0);
+      CU_ASSERT (f->counts.begun > f->counts.sent * 95 / 100);
+      CU_ASSERT_EQUAL (f->last_status, 503);
+      crash_fleet_free (f);
+    }
+}
+
+/* Guards against data centres that are cut off from each other and each count to the limit. */
+static void
+data_centres_that_do_not_hear_each_other_stop_the_part (void)
+{
+  for (size_t i = 0; i < N_FLEETS * N_RATES; i++)
+    {
+      CrashFleet *f = crash_fleet_new (&FLEETS[i / N_RATES]);
+
+      crash_fleet_split (f, f->options.data_centres);
+      crash_fleet_run (f, 3000);
+      f->crashing_per_s = RATES[i % N_RATES];
+      crash_fleet_run (f, play_ms (f->crashing_per_s));
+      check_stopped (f);
+      crash_fleet_free (f);
+    }
+}
+
+/* Guards against hosts that start again, or are new, and send what the others have stopped. */
+static void
+hosts_that_start_again_know_what_is_stopped (void)
+{
+  CrashFleet *f = start_stopped (&FLEETS[0]);
+  int64_t restarted_ms = crash_fleet_now_ms (f) + 500;
+
+  crash_fleet_restart_hosts (f);
+  crash_fleet_run (f, 20000);
+  CU_ASSERT_EQUAL (crash_fleet_count (f->arrivals, restarted_ms), 0);
+  crash_fleet_free (f);
+}
+
+/* Ends every n-th server at once, three times, each time after they have come back. */
+static void
+end_servers_three_times (CrashFleet *f, int n)
+{
+  for (int round = 0; round < 3; round++)
+    {
+      crash_fleet_run (f, 4000);
+      for (int i = 0; i < f->options.servers; i += n)
+        crash_fleet_end_server (f, i);
+    }
+  crash_fleet_run (f, 4000);
+}
+
+/* Guards against blaming what servers were doing when they lost power or a data centre failed. */
+static void
+servers_that_end_for_other_reasons_stop_no_part (void)
+{
+  for (int n = 1; n <= 3; n++)
+    {
+      CrashFleet *f = crash_fleet_new (&FLEETS[0]);
+
+      end_servers_three_times (f, n);
+      f->counts = (CrashFleetCounts){ 0 };
+      crash_fleet_run (f, 5000);
+      CU_ASSERT_EQUAL (f->counts.refused, 0);
+      CU_ASSERT (f->counts.sent > 0);
+      crash_fleet_free (f);
+    }
+}
+
+/* A trial of one host shows that the part is sound, and all hosts send its requests again. */
+static void
+part_that_is_sound_again_comes_back (void)
+{
+  CrashFleet *f = start_stopped (&FLEETS[0]);
+
+  f->part_is_sound = true;
+  f->options.requests_per_s = 20;
+  crash_fleet_run (f, 30000);
+  CU_ASSERT_EQUAL (f->part_answered, 0);
+  crash_fleet_run (f, 50000);
+  CU_ASSERT (f->part_answered > 10);
+  crash_fleet_free (f);
+}
+
+/* Guards against trials of many hosts, and of a few ones again and again. */
+static void
+part_that_still_crashes_servers_gets_few_trials (void)
+{
+  CrashFleet *f = start_stopped (&FLEETS[0]);
+  int64_t from_ms = crash_fleet_now_ms (f);
+
+  f->options.requests_per_s = 5;
+  crash_fleet_run (f, 600000);
+  CU_ASSERT_EQUAL (crash_fleet_count (f->arrivals, from_ms), 1);
+  check_stopped (f);
+  crash_fleet_free (f);
+}
+
+/* --- One request ------------------------------------------------------------------------- */
+
+static const QuarantineKey PART = { QUARANTINE_PROMPT_PART, 7 };
+
+/* Servers end under requests with PART, which other hosts report. */
+static void
+end_servers (RelayFixture *f, int from, int to)
+{
+  for (int i = from; i < to; i++)
+    {
+      char id[8];
+      QuarantineNotice n = { .kind = QUARANTINE_TELL_CUT,
+                             .server = { id, id, 1 },
+                             .keys = &PART,
+                             .n_keys = 1,
+                             .at_ms = timers_now_ms (f->deps.timers) };
+
+      snprintf (id, sizeof id, "gone-%d", i);
+      quarantine_apply (f->quarantine, &n, n.at_ms);
+      n.kind = QUARANTINE_TELL_END;
+      quarantine_apply (f->quarantine, &n, n.at_ms);
+      relay_fixture_run (f, 1000);
+    }
+}
+
+static RelayFixture *
+start_with_part (void)
+{
+  static const uint64_t PARTS[] = { 1, 7 };
+  RelayFixture *f = relay_fixture_new (CALL_STREAM);
+
+  f->request.shared_parts = PARTS;
+  f->request.n_shared_parts = 2;
+  return f;
+}
+
+/* Guards against a stopped request that is held, sent all the same, or charged. */
+static void
+stopped_request_is_refused_at_once_and_costs_nothing (void)
+{
+  RelayFixture *f = start_with_part ();
+
+  end_servers (f, 0, 3);
+  relay_fixture_start (f);
+  CU_ASSERT_EQUAL (f->backend->n_calls, 0);
+  CU_ASSERT_EQUAL (f->status, 503);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f->headers, "Retry-After: "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (f->body, "quarantined"));
+  CU_ASSERT (relay_fixture_can_reserve (f, RELAY_FIXTURE_BUDGET));
+  relay_fixture_free (f);
+}
+
+/* Guards against a crash that looks like a whole answer and clears the part that caused it. */
+static void
+only_an_answer_with_a_provable_end_clears_a_part (void)
+{
+  static const char *const UNFRAMED[] = { "X-Request-Id", "r-1", "X-Response-Seal", "s", NULL };
+  static const char *const FRAMED[]
+      = { "X-Request-Id", "r-1", "X-Response-Seal", "s", "Transfer-Encoding", "chunked", NULL };
+
+  for (int framed = 0; framed < 2; framed++)
+    {
+      RelayFixture *f = start_with_part ();
+      QuarantineRefusal refusal;
+
+      end_servers (f, 0, 2);
+      relay_fixture_start (f);
+      fake_backend_send_head (relay_fixture_last_call (f), 200, framed ? FRAMED : UNFRAMED);
+      fake_backend_send_body (relay_fixture_last_call (f), "id: 1\ndata: a\n\n");
+      fake_backend_end_response (relay_fixture_last_call (f));
+      CU_ASSERT (f->ended);
+      end_servers (f, 2, 3);
+      CU_ASSERT_EQUAL (
+          quarantine_allows (f->quarantine, &PART, 1, timers_now_ms (f->deps.timers), &refusal),
+          framed);
+      relay_fixture_free (f);
+    }
+}
+
 int
 main (void)
 {
   static const TestCase CASES[] = {
     { "part_that_crashes_servers_is_stopped_by_all_hosts",
       part_that_crashes_servers_is_stopped_by_all_hosts },
+    { "sound_requests_go_on_while_a_part_is_stopped",
+      sound_requests_go_on_while_a_part_is_stopped },
+    { "data_centres_that_do_not_hear_each_other_stop_the_part",
+      data_centres_that_do_not_hear_each_other_stop_the_part },
+    { "hosts_that_start_again_know_what_is_stopped", hosts_that_start_again_know_what_is_stopped },
+    { "servers_that_end_for_other_reasons_stop_no_part",
+      servers_that_end_for_other_reasons_stop_no_part },
+    { "part_that_is_sound_again_comes_back", part_that_is_sound_again_comes_back },
+    { "part_that_still_crashes_servers_gets_few_trials",
+      part_that_still_crashes_servers_gets_few_trials },
+    { "stopped_request_is_refused_at_once_and_costs_nothing",
+      stopped_request_is_refused_at_once_and_costs_nothing },
+    { "only_an_answer_with_a_provable_end_clears_a_part",
+      only_an_answer_with_a_provable_end_clears_a_part },
   };
 
   return harness_run ("quarantine", CASES, sizeof CASES / sizeof CASES[0]);
