quarantine: spread the writes of one row over more time

Now up to 20 ms for each host: the first of 350 hosts writes after the same time as before, and two or three others before they see it.

--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -16,7 +16,7 @@
 #define MAX_SUSPECTS 1024
 
 /* All hosts stop a key at about the same time; each waits up to this long for each host before it writes the row. */
-#define WRITE_SPREAD_MS_PER_HOST 2
+#define WRITE_SPREAD_MS_PER_HOST 20
 
 /* All exchanges of this host with a server that are cut off within this time, at least so many, prove its end. */
 #define BURST_MS     100
