relay: a stream that ends before its first event needs a provable end

What callers saw: a server that ends as it begins a stream which has neither a length nor chunks closes the connection after the head. The caller got an empty stream as a complete answer, and the request a good end.

Cause: without an end event in the platform's format, a stream was complete whenever its connection ended outside an event, also before the first one.

Change: such a stream counts as cut off if its end is that of its connection and no event was forwarded; the request fails or is repeated like others that are cut off. Streams that have delivered events end as before: nothing shows whether more would have come.

stream_without_length_that_ends_before_its_first_event_is_cut_off failed before (ended, no 502). Unit tests of relay, backend and reuse pass.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -360,9 +360,13 @@
     a->check = RESPONSE_NOT_RUN;
 }
 
+/* Without a length and without chunks a stream that ends before its first event tells nothing: its server may have
+ * ended. */
 static bool
 stream_is_complete (const Relay *r, const Attempt *a)
 {
+  if (r->events == 0 && !relay_has_provable_end (a))
+    return false;
   return a->sse.partial_len == 0 && (a->end_seen || !r->deps->dialect->ops->has_end_event);
 }
 
--- a/src/relay/relay_cut.c
+++ b/src/relay/relay_cut.c
@@ -52,8 +52,8 @@
 }
 
 /* Without a length and without chunks a response ends with its connection, also if its server has ended. */
-static bool
-has_provable_end (const Attempt *a)
+bool
+relay_has_provable_end (const Attempt *a)
 {
   return a->end_seen || backend_header (a->call, "Content-Length")
          || backend_header (a->call, "Transfer-Encoding");
@@ -62,7 +62,7 @@
 void
 relay_report_complete (const Relay *r, Attempt *a)
 {
-  if (a->head.status < 300 && has_provable_end (a))
+  if (a->head.status < 300 && relay_has_provable_end (a))
     relay_report_sound (r, a);
 }
 
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -91,6 +91,8 @@
 void relay_set_keys (Relay *r);
 /* @return whether the request may be sent to a server. */
 bool relay_check_quarantine (const Relay *r, Err *err);
+/* @return whether the response shows by itself that it is complete, rather than by the end of its connection. */
+bool relay_has_provable_end (const Attempt *a);
 /* The answer has come so far that its server will not end under the request. */
 void relay_report_sound (const Relay *r, Attempt *a);
 /* An exchange has ended with a complete response. */
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -238,11 +238,12 @@
   relay_fixture_free (f);
 }
 
+static const char *const UNFRAMED[] = { "X-Request-Id", "r-1", "X-Response-Seal", "s", NULL };
+
 /* Guards against a crash that looks like a whole answer and clears the part that caused it. */
 static void
 only_an_answer_with_a_provable_end_clears_a_part (void)
 {
-  static const char *const UNFRAMED[] = { "X-Request-Id", "r-1", "X-Response-Seal", "s", NULL };
   static const char *const FRAMED[]
       = { "X-Request-Id", "r-1", "X-Response-Seal", "s", "Transfer-Encoding", "chunked", NULL };
 
@@ -265,6 +266,21 @@
     }
 }
 
+/* Guards against a server that ends before the first event of a stream without length and chunks, whose caller gets an
+ * empty stream as a complete one. */
+static void
+stream_without_length_that_ends_before_its_first_event_is_cut_off (void)
+{
+  RelayFixture *f = start_with_part ();
+
+  relay_fixture_start (f);
+  fake_backend_send_head (relay_fixture_last_call (f), 200, UNFRAMED);
+  fake_backend_end_response (relay_fixture_last_call (f));
+  CU_ASSERT_FALSE (f->ended);
+  CU_ASSERT_EQUAL (f->status, 502);
+  relay_fixture_free (f);
+}
+
 int
 main (void)
 {
@@ -285,6 +301,8 @@
       stopped_request_is_refused_at_once_and_costs_nothing },
     { "only_an_answer_with_a_provable_end_clears_a_part",
       only_an_answer_with_a_provable_end_clears_a_part },
+    { "stream_without_length_that_ends_before_its_first_event_is_cut_off",
+      stream_without_length_that_ends_before_its_first_event_is_cut_off },
   };
 
   return harness_run ("quarantine", CASES, sizeof CASES / sizeof CASES[0]);
