quarantine: count ends of servers that look like whole answers

What callers saw: nothing yet; shown by a test. A server that ends after the first event of a stream without length and chunks closes the connection between two events. The host takes that for the whole answer, so that no exchange was cut off and the end counts for none of the prompt's parts: a service that answers so would lose server after server again.

Cause: the evidence came from failed exchanges only. What was ruled out: taking each such answer for cut off and telling all hosts, a message for each sound request where all answers come that way.

Change: an answer whose end nothing proves is recorded by its own host, as one that the others do not know of. A sound answer that removes only such records is not told either.

end_that_looks_like_a_whole_answer_counts failed before. Unit tests of quarantine, evidence and relay pass.

--- a/src/quarantine/evidence.c
+++ b/src/quarantine/evidence.c
@@ -28,6 +28,7 @@
   uint64_t request;
   int64_t cut_ms;
   bool ended; /* the server is proved to have ended */
+  bool untold;
 } CutRecord;
 
 typedef struct
@@ -215,7 +216,8 @@
   CutRecord record = { .instance = cut->instance,
                        .request = cut->request,
                        .cut_ms = cut->cut_ms,
-                       .ended = evidence_has_ended (e, cut->instance) };
+                       .ended = evidence_has_ended (e, cut->instance),
+                       .untold = cut->untold };
 
   for (size_t i = 0; i < cut->n_keys; i++)
     add_record (e, cut->keys[i], i, &record);
@@ -243,6 +245,32 @@
   return n_keys;
 }
 
+bool
+evidence_next_untold (Evidence *e, uint64_t instance, QuarantineKey *key, EvidenceCut *cut)
+{
+  for (ListNode *n = list_first (&e->by_age); n; n = list_next (&e->by_age, n))
+    {
+      Suspect *s = LIST_ENTRY (n, Suspect, node);
+
+      for (size_t i = 0; i < s->n_records; i++)
+        {
+          CutRecord *r = &s->records[i];
+
+          if (r->instance != instance || !r->ended || !r->untold)
+            continue;
+          r->untold = false;
+          *key = s->key;
+          *cut = (EvidenceCut){ .keys = key,
+                                .n_keys = 1,
+                                .instance = r->instance,
+                                .request = r->request,
+                                .cut_ms = r->cut_ms };
+          return true;
+        }
+    }
+  return false;
+}
+
 bool
 evidence_add_sound (Evidence *e, const QuarantineKey *keys, size_t n_keys, int64_t sent_ms)
 {
@@ -254,9 +282,11 @@
 
       if (!s || s->records[0].cut_ms > sent_ms)
         continue;
-      removed = true;
       while (s->n_records > 0 && s->records[0].cut_ms <= sent_ms)
-        remove_record (s, 0);
+        {
+          removed |= !s->records[0].untold;
+          remove_record (s, 0);
+        }
       s->blamed_ms = 0;
       s->reported = false;
       if (s->n_records == 0)
--- a/src/quarantine/evidence.h
+++ b/src/quarantine/evidence.h
@@ -28,6 +28,7 @@
   uint64_t instance; /* hash of the server's start */
   uint64_t request;  /* hash of the request's id */
   int64_t cut_ms;
+  bool untold; /* the other hosts are told only if the server turns out to have ended */
 } EvidenceCut;
 
 /** Why a key is to blame. */
@@ -51,10 +52,15 @@
 /** The server has ended, whatever it was that ended it. @return the number of keys that this concerns. */
 size_t evidence_add_end (Evidence *evidence, uint64_t instance, int64_t now_ms);
 
+/** @return whether a server has ended and has a record, each once, that the other hosts are to be told of now. */
+bool evidence_next_untold (Evidence *evidence, uint64_t instance, QuarantineKey *key,
+                           EvidenceCut *cut);
+
 /** @return whether the server is known to have ended. */
 bool evidence_has_ended (const Evidence *evidence, uint64_t instance);
 
-/** A request with these keys that was sent at @p sent_ms has a sound answer. @return whether a record was removed. */
+/** A request with these keys that was sent at @p sent_ms has a sound answer. @return whether a record was removed that
+ * the other hosts know of. */
 bool evidence_add_sound (Evidence *evidence, const QuarantineKey *keys, size_t n_keys,
                          int64_t sent_ms);
 
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -23,6 +23,9 @@
 #define BURST_CUTS   3
 #define BURST_COUNTS 16
 
+/* Enough for the young answers without length of one host at one server. */
+#define MAX_UNTOLD 32
+
 /* Between two log lines that say that the servers seem to be to blame. */
 #define UNDECIDED_LOG_MS 10000
 
@@ -217,13 +220,14 @@
 }
 
 static bool
-add_cut (Quarantine *q, const QuarantineNotice *n, int64_t now_ms)
+add_cut (Quarantine *q, const QuarantineNotice *n, bool untold, int64_t now_ms)
 {
   EvidenceCut cut = { .keys = n->keys,
                       .n_keys = n->n_keys,
                       .instance = instance_hash (&n->server),
                       .request = n->request,
-                      .cut_ms = n->at_ms };
+                      .cut_ms = n->at_ms,
+                      .untold = untold };
 
   if (n->n_keys == 0 || is_explained (q, n->keys, n->n_keys))
     return false;
@@ -232,8 +236,42 @@
   return true;
 }
 
+/* Cuts of this host that turn out to have been ends: to be told after the lock is released. */
+typedef struct
+{
+  QuarantineKey keys[MAX_UNTOLD];
+  EvidenceCut cuts[MAX_UNTOLD];
+  size_t n;
+} UntoldCuts;
+
+static void
+collect_untold (Quarantine *q, uint64_t instance, UntoldCuts *untold)
+{
+  while (untold->n < MAX_UNTOLD
+         && evidence_next_untold (q->evidence, instance, &untold->keys[untold->n],
+                                  &untold->cuts[untold->n]))
+    untold->n++;
+}
+
+static void
+tell_untold (Quarantine *q, const ServerInstance *server, const UntoldCuts *untold)
+{
+  for (size_t i = 0; i < untold->n; i++)
+    {
+      QuarantineNotice notice = { .kind = QUARANTINE_TELL_CUT,
+                                  .server = *server,
+                                  .request = untold->cuts[i].request,
+                                  .keys = &untold->keys[i],
+                                  .n_keys = 1,
+                                  .at_ms = untold->cuts[i].cut_ms };
+
+      tell (q, &notice);
+    }
+}
+
 static bool
-add_end (Quarantine *q, const ServerInstance *server, const char *source, int64_t now_ms)
+add_end (Quarantine *q, const ServerInstance *server, const char *source, UntoldCuts *untold,
+         int64_t now_ms)
 {
   uint64_t instance = instance_hash (server);
   size_t n_keys;
@@ -247,6 +285,7 @@
       log_event (LOG_LEVEL_NOTICE, "quarantine", "server_ended",
                  "server=%s address=%s instance=%" PRIx64 " keys=%zu source=%s", server->id,
                  server->address, instance, n_keys, source);
+      collect_untold (q, instance, untold);
       judge (q, now_ms);
     }
   return true;
@@ -283,15 +322,25 @@
                               .n_keys = cut->n_keys,
                               .at_ms = now_ms };
   QuarantineNotice end = { .kind = QUARANTINE_TELL_END, .server = cut->server };
-  bool is_recorded;
+  UntoldCuts untold = { .n = 0 };
+  bool is_told;
   bool ended = false;
 
   pthread_mutex_lock (&q->lock);
-  is_recorded = add_cut (q, &notice, now_ms);
+  if (cut->may_be_complete)
+    {
+      add_cut (q, &notice, true, now_ms);
+      collect_untold (q, instance_hash (&cut->server), &untold);
+      unlock (q);
+      tell_untold (q, &cut->server, &untold);
+      return;
+    }
+  is_told = add_cut (q, &notice, false, now_ms);
   if (count_in_burst (q, cut, now_ms))
-    ended = add_end (q, &cut->server, "all_cut_off", now_ms);
+    ended = add_end (q, &cut->server, "all_cut_off", &untold, now_ms);
   unlock (q);
-  if (is_recorded)
+  tell_untold (q, &cut->server, &untold);
+  if (is_told)
     tell (q, &notice);
   if (ended)
     tell (q, &end);
@@ -302,11 +351,14 @@
                     int64_t now_ms)
 {
   QuarantineNotice notice = { .kind = QUARANTINE_TELL_END, .server = *server };
+  UntoldCuts untold = { .n = 0 };
   bool is_new;
 
   pthread_mutex_lock (&q->lock);
-  is_new = add_end (q, server, source == QUARANTINE_END_RECORD ? "record" : "refused", now_ms);
+  is_new = add_end (q, server, source == QUARANTINE_END_RECORD ? "record" : "refused", &untold,
+                    now_ms);
   unlock (q);
+  tell_untold (q, server, &untold);
   if (is_new && source != QUARANTINE_END_RECORD)
     tell (q, &notice);
 }
@@ -349,20 +401,23 @@
 void
 quarantine_apply (Quarantine *q, const QuarantineNotice *n, int64_t now_ms)
 {
+  UntoldCuts untold = { .n = 0 };
+
   pthread_mutex_lock (&q->lock);
   switch (n->kind)
     {
     case QUARANTINE_TELL_CUT:
-      add_cut (q, n, now_ms);
+      add_cut (q, n, false, now_ms);
       break;
     case QUARANTINE_TELL_END:
-      add_end (q, &n->server, "host", now_ms);
+      add_end (q, &n->server, "host", &untold, now_ms);
       break;
     case QUARANTINE_TELL_SOUND:
       add_sound (q, n->keys, n->n_keys, n->at_ms, "host", now_ms);
       break;
     }
   unlock (q);
+  tell_untold (q, &n->server, &untold);
 }
 
 /* --- Rows -------------------------------------------------------------------------------- */
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -20,6 +20,8 @@
   const QuarantineKey *keys;
   size_t n_keys;
   int others_in_flight; /* of this host at the server */
+  /** The answer has ended with its connection and may be complete: it counts only if its server has ended. */
+  bool may_be_complete;
 } QuarantineCut;
 
 typedef enum
--- a/src/relay/relay_cut.c
+++ b/src/relay/relay_cut.c
@@ -59,11 +59,38 @@
          || backend_header (a->call, "Transfer-Encoding");
 }
 
+static QuarantineCut
+make_cut (const Relay *r, const Attempt *a, const AssignmentServer *server)
+{
+  const char *id = r->request->id;
+
+  return (QuarantineCut){ .server = server->instance,
+                          .request = XXH64 (id, strlen (id), 0),
+                          .keys = r->keys,
+                          .n_keys = a->sound ? 0 : r->n_keys,
+                          .others_in_flight = server->others_in_flight };
+}
+
+static void
+report_unproved_end (const Relay *r, const Attempt *a)
+{
+  AssignmentServer server = assignment_server_state (a->assignment);
+  QuarantineCut cut = make_cut (r, a, &server);
+
+  cut.may_be_complete = true;
+  if (!server.draining && cut.n_keys > 0)
+    quarantine_add_cut (r->deps->quarantine, &cut, timers_now_ms (r->deps->timers));
+}
+
 void
 relay_report_complete (const Relay *r, Attempt *a)
 {
-  if (a->head.status < 300 && relay_has_provable_end (a))
+  if (a->head.status >= 300)
+    return;
+  if (relay_has_provable_end (a))
     relay_report_sound (r, a);
+  else
+    report_unproved_end (r, a);
 }
 
 void
@@ -98,11 +125,7 @@
   const RelayRequest *q = r->request;
   int64_t now = timers_now_ms (r->deps->timers);
   AssignmentServer server = assignment_server_state (a->assignment);
-  QuarantineCut cut = { .server = server.instance,
-                        .request = XXH64 (q->id, strlen (q->id), 0),
-                        .keys = r->keys,
-                        .n_keys = a->sound ? 0 : r->n_keys,
-                        .others_in_flight = server.others_in_flight };
+  QuarantineCut cut = make_cut (r, a, &server);
   char parts[PARTS_BYTES];
 
   format_parts (q, parts);
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -281,6 +281,39 @@
   relay_fixture_free (f);
 }
 
+/* The answer without length of a request with PART ends after one event, and its server is found to have ended. */
+static void
+end_server_under_unframed_answer (RelayFixture *f)
+{
+  char *id;
+  ServerInstance server;
+
+  relay_fixture_start (f);
+  id = talloc_strdup (f, relay_fixture_last_call (f)->address);
+  server = (ServerInstance){ id, id, 0 };
+  fake_backend_send_head (relay_fixture_last_call (f), 200, UNFRAMED);
+  fake_backend_send_body (relay_fixture_last_call (f), "id: 1\ndata: a\n\n");
+  fake_backend_end_response (relay_fixture_last_call (f));
+  quarantine_add_end (f->quarantine, &server, QUARANTINE_END_REFUSED,
+                      timers_now_ms (f->deps.timers));
+  dispatch_server_removed (f->dispatch, id, true, timers_now_ms (f->deps.timers));
+  relay_fixture_run (f, 1000);
+}
+
+/* Guards against ends of servers that look like whole answers and are never counted. */
+static void
+end_that_looks_like_a_whole_answer_counts (void)
+{
+  RelayFixture *f = start_with_part ();
+  QuarantineRefusal refusal;
+
+  for (int i = 0; i < 3; i++)
+    end_server_under_unframed_answer (f);
+  CU_ASSERT_FALSE (
+      quarantine_allows (f->quarantine, &PART, 1, timers_now_ms (f->deps.timers), &refusal));
+  relay_fixture_free (f);
+}
+
 int
 main (void)
 {
@@ -303,6 +336,7 @@
       only_an_answer_with_a_provable_end_clears_a_part },
     { "stream_without_length_that_ends_before_its_first_event_is_cut_off",
       stream_without_length_that_ends_before_its_first_event_is_cut_off },
+    { "end_that_looks_like_a_whole_answer_counts", end_that_looks_like_a_whole_answer_counts },
   };
 
   return harness_run ("quarantine", CASES, sizeof CASES / sizeof CASES[0]);
