--- a/src/relay/relay_cut.c
+++ b/src/relay/relay_cut.c
@@ -12,6 +12,18 @@
 /* Size of the text of a list of prompt parts. */
 #define PARTS_BYTES 280
 
+/* @return a hash that is the same if the same request comes again, under another id. */
+static uint64_t
+fingerprint (const RelayRequest *q)
+{
+  const char *const fields[] = { q->account ? q->account : "", q->method, q->host, q->target };
+  uint64_t hash = 0;
+
+  for (size_t i = 0; i < sizeof fields / sizeof fields[0]; i++)
+    hash = XXH64 (fields[i], strlen (fields[i]), hash);
+  return XXH64 (q->body_len > 0 ? q->body : "", q->body_len, hash);
+}
+
 void
 relay_set_keys (Relay *r)
 {
@@ -21,6 +33,7 @@
   if (n < q->n_shared_parts)
     log_event (LOG_LEVEL_NOTICE, "relay", "parts_ignored", "id=%s parts=%zu", q->id,
                q->n_shared_parts - n);
+  r->fingerprint = fingerprint (q);
   r->keys = talloc_array (r, QuarantineKey, n);
   for (size_t i = 0; i < n; i++)
     r->keys[r->n_keys++]
@@ -131,10 +144,10 @@
   format_parts (q, parts);
   log_event (LOG_LEVEL_INFO, "relay", "cut_off",
              "id=%s server=%s head=%d events=%" PRId64 " event_age_ms=%" PRId64
-             " sound=%d in_flight=%d draining=%d shared_parts=%zu parts=%s",
+             " sound=%d in_flight=%d draining=%d request=%" PRIx64 " shared_parts=%zu parts=%s",
              q->id, r->server, a->head.status > 0, r->events,
              a->first_event_ms ? now - a->first_event_ms : -1, a->sound, server.others_in_flight,
-             server.draining, q->n_shared_parts, parts);
+             server.draining, r->fingerprint, q->n_shared_parts, parts);
   if (!server.draining)
     quarantine_add_cut (r->deps->quarantine, &cut, now);
 }
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -58,8 +58,9 @@
   Timer *deadline;
   Reservation *reservation;
   Tokens reserved;
-  Charge charge;       /* set by the settlement */
-  QuarantineKey *keys; /* what it has in common with other requests */
+  Charge charge;        /* set by the settlement */
+  uint64_t fingerprint; /* the same if the same request comes again */
+  QuarantineKey *keys;  /* what it has in common with other requests */
   size_t n_keys;
   Attempt *attempt;
   char *tried[DISPATCH_MAX_TRIED]; /* ids of the servers of failed attempts */
