--- a/tests/unit/crash_fleet.c
+++ b/tests/unit/crash_fleet.c
@@ -546,6 +546,21 @@
 
 /* --- Load -------------------------------------------------------------------------------- */
 
+/* A request without parts that is the same each time. */
+static void
+make_one_request (FleetRequest *r)
+{
+  RelayRequest *q = &r->request;
+
+  q->body = "one";
+  q->body_len = 3;
+  q->n_parts = 0;
+  q->n_shared_parts = 0;
+  q->kind = r->fleet->one_repeatable_request ? CALL_IDEMPOTENT : CALL_NON_IDEMPOTENT;
+  q->repeatable = r->fleet->one_repeatable_request;
+  q->max_attempts = 3;
+}
+
 static void
 send_request (CrashFleet *f, bool crashes)
 {
@@ -564,7 +579,8 @@
                                .method = "POST",
                                .target = "/p/1",
                                .host = "h",
-                               .body = "",
+                               .body = r->id,
+                               .body_len = strlen (r->id),
                                .service = f->service,
                                .account = "klubbarna",
                                .kind = CALL_STREAM,
@@ -577,6 +593,8 @@
                                .n_shared_parts = 2 };
   r->request.parts[0] = (PromptPart){ r->parts[0], 500 };
   r->request.parts[1] = (PromptPart){ r->parts[0] ^ r->parts[1], 500 };
+  if (crashes && (f->one_request || f->one_repeatable_request))
+    make_one_request (r);
   f->counts.sent += !crashes;
   r->relay = relay_new (&r->host->deps, memory, &r->request, now, &CLIENT_OPS, r);
 }
--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -70,6 +70,10 @@
   Rng rng;
   double crashing_per_s; /* requests that end the servers that answer them */
   uint64_t crashing_part;
+  /* The crashing requests have no parts in their prompts, but are one request that comes again: a booking, or one that
+   * hosts may repeat. */
+  bool one_request;
+  bool one_repeatable_request;
   bool part_is_sound; /* its requests are answered */
   FakeStore *store;
   int part_answered; /* requests with the part that were answered completely */
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -10,7 +10,8 @@
 
 /* Time after the fifth end in which the requests must be stopped, and what may still reach a server then. */
 #define CONTACT_MS   3000
-#define MANY_CRASHES 5
+#define MANY_CRASHES 5 /* of a part */
+#define REPEATED     3 /* of one request */
 #define ALLOWED_MORE 3
 
 static const CrashFleetOptions FLEETS[] = {
@@ -34,16 +35,17 @@
 }
 
 static int64_t
-fifth_crash_ms (const CrashFleet *f)
+crash_ms (const CrashFleet *f, guint number)
 {
-  return f->crashes->len < MANY_CRASHES ? INT64_MAX - CONTACT_MS
-                                        : g_array_index (f->crashes, int64_t, MANY_CRASHES - 1);
+  return f->crashes->len < number ? INT64_MAX - CONTACT_MS
+                                  : g_array_index (f->crashes, int64_t, number - 1);
 }
 
+/* @param known the crash from which on hosts have CONTACT_MS to stop the requests. */
 static void
-check_stopped (const CrashFleet *f)
+check_stopped_after (const CrashFleet *f, guint known)
 {
-  int more = crash_fleet_count (f->arrivals, fifth_crash_ms (f) + CONTACT_MS);
+  int more = crash_fleet_count (f->arrivals, crash_ms (f, known) + CONTACT_MS);
 
   if (more > ALLOWED_MORE)
     fprintf (stderr, "%d hosts, %.1f a second: %d more were sent, %u servers ended in all\n",
@@ -51,6 +53,12 @@
   CU_ASSERT (more <= ALLOWED_MORE);
 }
 
+static void
+check_stopped (const CrashFleet *f)
+{
+  check_stopped_after (f, MANY_CRASHES);
+}
+
 /* Guards against a prompt part that crashes server after server, wherever its requests arrive. */
 static void
 part_that_crashes_servers_is_stopped_by_all_hosts (void)
@@ -186,6 +194,38 @@
   crash_fleet_free (f);
 }
 
+static void
+check_one_request_is_stopped (bool repeatable, int groups)
+{
+  for (size_t i = 0; i < N_FLEETS * N_RATES; i++)
+    {
+      CrashFleet *f = crash_fleet_new (&FLEETS[i / N_RATES]);
+
+      f->one_request = true;
+      f->one_repeatable_request = repeatable;
+      crash_fleet_split (f, groups);
+      crash_fleet_run (f, 3000);
+      f->crashing_per_s = RATES[i % N_RATES];
+      crash_fleet_run (f, play_ms (f->crashing_per_s));
+      check_stopped_after (f, REPEATED);
+      crash_fleet_free (f);
+    }
+}
+
+/* Guards against one booking, without a prompt, that crashes server after server. */
+static void
+request_that_comes_again_and_crashes_servers_is_stopped (void)
+{
+  check_one_request_is_stopped (false, 1);
+}
+
+/* As before, with hosts that send it to another server themselves. */
+static void
+repeatable_request_that_crashes_servers_is_stopped (void)
+{
+  check_one_request_is_stopped (true, 1);
+}
+
 /* --- One request ------------------------------------------------------------------------- */
 
 static const QuarantineKey PART = { QUARANTINE_PROMPT_PART, 7 };
@@ -337,6 +377,10 @@
     { "stream_without_length_that_ends_before_its_first_event_is_cut_off",
       stream_without_length_that_ends_before_its_first_event_is_cut_off },
     { "end_that_looks_like_a_whole_answer_counts", end_that_looks_like_a_whole_answer_counts },
+    { "request_that_comes_again_and_crashes_servers_is_stopped",
+      request_that_comes_again_and_crashes_servers_is_stopped },
+    { "repeatable_request_that_crashes_servers_is_stopped",
+      repeatable_request_that_crashes_servers_is_stopped },
   };
 
   return harness_run ("quarantine", CASES, sizeof CASES / sizeof CASES[0]);
