quarantine: stop one request under which servers end, with or without a prompt

Model requests were stopped by the middle part of their prompt.

Cause: the evidence had no key for a request without a prompt. Ruled out by the logs: servers blamed in place of the request, ends that are not proved.

Change: that hash is a key of every request, behind the parts of its prompt, as it is more specific; messages between hosts and the store's rows carry it. And ends of servers under one request count each, also within half a second of each other: it was sent again after the first one.

--- a/src/host/host_quarantine.c
+++ b/src/host/host_quarantine.c
@@ -26,6 +26,16 @@
   return ids;
 }
 
+/* @return 0 if there is no key of a whole request. */
+static uint64_t
+fingerprint_of (const QuarantineNotice *n)
+{
+  for (size_t i = 0; i < n->n_keys; i++)
+    if (n->keys[i].kind == QUARANTINE_REQUEST)
+      return n->keys[i].id;
+  return 0;
+}
+
 static void
 send_cut (HostNotice *hn, int64_t now)
 {
@@ -38,6 +48,7 @@
   message.born_ms = n->server.started_ms;
   message.request = n->request;
   message.parts = part_ids (hn, n, &message.n_parts);
+  message.fingerprint = fingerprint_of (n);
   message.age_ms = now - n->at_ms;
   env.body_case = POND__ENVELOPE__BODY_REQUEST_CUT;
   env.request_cut = &message;
@@ -64,12 +75,13 @@
 {
   const QuarantineNotice *n = &hn->notice;
   Pond__Envelope env = POND__ENVELOPE__INIT;
-  Pond__PartsSound message = POND__PARTS_SOUND__INIT;
+  Pond__RequestSound message = POND__REQUEST_SOUND__INIT;
 
   message.parts = part_ids (hn, n, &message.n_parts);
+  message.fingerprint = fingerprint_of (n);
   message.age_ms = now - n->at_ms;
-  env.body_case = POND__ENVELOPE__BODY_PARTS_SOUND;
-  env.parts_sound = &message;
+  env.body_case = POND__ENVELOPE__BODY_REQUEST_SOUND;
+  env.request_sound = &message;
   host_send_to_all (hn->host, &env);
 }
 
@@ -110,20 +122,24 @@
 
 /* --- Messages of other hosts ------------------------------------------------------------- */
 
-static QuarantineKey *
-keys_of_parts (const void *ctx, const uint64_t *parts, size_t n)
+static size_t
+bounded (size_t n_parts)
 {
-  QuarantineKey *keys = talloc_array (ctx, QuarantineKey, n);
-
-  for (size_t i = 0; i < n; i++)
-    keys[i] = (QuarantineKey){ .kind = QUARANTINE_PROMPT_PART, .id = parts[i] };
-  return keys;
+  return n_parts < QUARANTINE_MAX_KEYS ? n_parts : QUARANTINE_MAX_KEYS - 1;
 }
 
-static size_t
-bounded (size_t n_keys)
+/* @param fingerprint 0: none. @return in the order of the request's own keys, a talloc array under @p ctx. */
+static QuarantineKey *
+make_keys (const void *ctx, const uint64_t *parts, size_t n_parts, uint64_t fingerprint, size_t *n)
 {
-  return n_keys < QUARANTINE_MAX_KEYS ? n_keys : QUARANTINE_MAX_KEYS;
+  size_t n_known = bounded (n_parts);
+  QuarantineKey *keys = talloc_array (ctx, QuarantineKey, n_known + 1);
+
+  for (*n = 0; *n < n_known; (*n)++)
+    keys[*n] = (QuarantineKey){ .kind = QUARANTINE_PROMPT_PART, .id = parts[*n] };
+  if (fingerprint)
+    keys[(*n)++] = (QuarantineKey){ .kind = QUARANTINE_REQUEST, .id = fingerprint };
+  return keys;
 }
 
 static void
@@ -132,9 +148,8 @@
   QuarantineNotice n = { .kind = QUARANTINE_TELL_CUT,
                          .server = { m->server, m->address, m->born_ms },
                          .request = m->request,
-                         .n_keys = bounded (m->n_parts),
                          .at_ms = host_now_ms (h) - m->age_ms };
-  QuarantineKey *keys = keys_of_parts (h, m->parts, n.n_keys);
+  QuarantineKey *keys = make_keys (h, m->parts, m->n_parts, m->fingerprint, &n.n_keys);
 
   n.keys = keys;
   quarantine_apply (h->quarantine, &n, host_now_ms (h));
@@ -151,12 +166,10 @@
 }
 
 static void
-on_parts_sound (Host *h, const Pond__PartsSound *m)
+on_request_sound (Host *h, const Pond__RequestSound *m)
 {
-  QuarantineNotice n = { .kind = QUARANTINE_TELL_SOUND,
-                         .n_keys = bounded (m->n_parts),
-                         .at_ms = host_now_ms (h) - m->age_ms };
-  QuarantineKey *keys = keys_of_parts (h, m->parts, n.n_keys);
+  QuarantineNotice n = { .kind = QUARANTINE_TELL_SOUND, .at_ms = host_now_ms (h) - m->age_ms };
+  QuarantineKey *keys = make_keys (h, m->parts, m->n_parts, m->fingerprint, &n.n_keys);
 
   n.keys = keys;
   quarantine_apply (h->quarantine, &n, host_now_ms (h));
@@ -170,8 +183,8 @@
     on_request_cut (h, env->request_cut);
   else if (env->body_case == POND__ENVELOPE__BODY_SERVER_ENDED)
     on_server_ended (h, env->server_ended);
-  else if (env->body_case == POND__ENVELOPE__BODY_PARTS_SOUND)
-    on_parts_sound (h, env->parts_sound);
+  else if (env->body_case == POND__ENVELOPE__BODY_REQUEST_SOUND)
+    on_request_sound (h, env->request_sound);
   else
     return false;
   return true;
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -367,49 +367,49 @@
   assert(message->base.descriptor == &pond__server_ended__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   pond__parts_sound__init
-                     (Pond__PartsSound         *message)
+void   pond__request_sound__init
+                     (Pond__RequestSound         *message)
 {
-  static const Pond__PartsSound init_value = POND__PARTS_SOUND__INIT;
+  static const Pond__RequestSound init_value = POND__REQUEST_SOUND__INIT;
   *message = init_value;
 }
-size_t pond__parts_sound__get_packed_size
-                     (const Pond__PartsSound *message)
+size_t pond__request_sound__get_packed_size
+                     (const Pond__RequestSound *message)
 {
-  assert(message->base.descriptor == &pond__parts_sound__descriptor);
+  assert(message->base.descriptor == &pond__request_sound__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pond__parts_sound__pack
-                     (const Pond__PartsSound *message,
+size_t pond__request_sound__pack
+                     (const Pond__RequestSound *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &pond__parts_sound__descriptor);
+  assert(message->base.descriptor == &pond__request_sound__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pond__parts_sound__pack_to_buffer
-                     (const Pond__PartsSound *message,
+size_t pond__request_sound__pack_to_buffer
+                     (const Pond__RequestSound *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &pond__parts_sound__descriptor);
+  assert(message->base.descriptor == &pond__request_sound__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Pond__PartsSound *
-       pond__parts_sound__unpack
+Pond__RequestSound *
+       pond__request_sound__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Pond__PartsSound *)
-     protobuf_c_message_unpack (&pond__parts_sound__descriptor,
+  return (Pond__RequestSound *)
+     protobuf_c_message_unpack (&pond__request_sound__descriptor,
                                 allocator, len, data);
 }
-void   pond__parts_sound__free_unpacked
-                     (Pond__PartsSound *message,
+void   pond__request_sound__free_unpacked
+                     (Pond__RequestSound *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &pond__parts_sound__descriptor);
+  assert(message->base.descriptor == &pond__request_sound__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   pond__envelope__init
@@ -938,7 +938,7 @@
   (ProtobufCMessageInit) pond__server_limited__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pond__request_cut__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pond__request_cut__field_descriptors[7] =
 {
   {
     "server",
@@ -1012,11 +1012,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fingerprint",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pond__RequestCut, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pond__request_cut__field_indices_by_name[] = {
   1,   /* field[1] = address */
   5,   /* field[5] = age_ms */
   2,   /* field[2] = born_ms */
+  6,   /* field[6] = fingerprint */
   4,   /* field[4] = parts */
   3,   /* field[3] = request */
   0,   /* field[0] = server */
@@ -1024,7 +1037,7 @@
 static const ProtobufCIntRange pond__request_cut__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor pond__request_cut__descriptor =
 {
@@ -1034,7 +1047,7 @@
   "Pond__RequestCut",
   "pond",
   sizeof(Pond__RequestCut),
-  6,
+  7,
   pond__request_cut__field_descriptors,
   pond__request_cut__field_indices_by_name,
   1,  pond__request_cut__number_ranges,
@@ -1105,15 +1118,15 @@
   (ProtobufCMessageInit) pond__server_ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pond__parts_sound__field_descriptors[2] =
+static const ProtobufCFieldDescriptor pond__request_sound__field_descriptors[3] =
 {
   {
     "parts",
     1,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Pond__PartsSound, n_parts),
-    offsetof(Pond__PartsSound, parts),
+    offsetof(Pond__RequestSound, n_parts),
+    offsetof(Pond__RequestSound, parts),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -1125,35 +1138,48 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Pond__PartsSound, age_ms),
+    offsetof(Pond__RequestSound, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fingerprint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pond__RequestSound, fingerprint),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned pond__parts_sound__field_indices_by_name[] = {
+static const unsigned pond__request_sound__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  2,   /* field[2] = fingerprint */
   0,   /* field[0] = parts */
 };
-static const ProtobufCIntRange pond__parts_sound__number_ranges[1 + 1] =
+static const ProtobufCIntRange pond__request_sound__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor pond__parts_sound__descriptor =
+const ProtobufCMessageDescriptor pond__request_sound__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "pond.PartsSound",
-  "PartsSound",
-  "Pond__PartsSound",
+  "pond.RequestSound",
+  "RequestSound",
+  "Pond__RequestSound",
   "pond",
-  sizeof(Pond__PartsSound),
-  2,
-  pond__parts_sound__field_descriptors,
-  pond__parts_sound__field_indices_by_name,
-  1,  pond__parts_sound__number_ranges,
-  (ProtobufCMessageInit) pond__parts_sound__init,
+  sizeof(Pond__RequestSound),
+  3,
+  pond__request_sound__field_descriptors,
+  pond__request_sound__field_indices_by_name,
+  1,  pond__request_sound__number_ranges,
+  (ProtobufCMessageInit) pond__request_sound__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor pond__envelope__field_descriptors[12] =
@@ -1291,13 +1317,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "parts_sound",
+    "request_sound",
     18,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Pond__Envelope, body_case),
-    offsetof(Pond__Envelope, parts_sound),
-    &pond__parts_sound__descriptor,
+    offsetof(Pond__Envelope, request_sound),
+    &pond__request_sound__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1309,8 +1335,8 @@
   5,   /* field[5] = balance_leave */
   0,   /* field[0] = from */
   1,   /* field[1] = from_incarnation */
-  11,   /* field[11] = parts_sound */
   9,   /* field[9] = request_cut */
+  11,   /* field[11] = request_sound */
   7,   /* field[7] = rotation_told */
   10,   /* field[10] = server_ended */
   6,   /* field[6] = server_leaves */
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -23,7 +23,7 @@
 typedef struct Pond__ServerLimited Pond__ServerLimited;
 typedef struct Pond__RequestCut Pond__RequestCut;
 typedef struct Pond__ServerEnded Pond__ServerEnded;
-typedef struct Pond__PartsSound Pond__PartsSound;
+typedef struct Pond__RequestSound Pond__RequestSound;
 typedef struct Pond__Envelope Pond__Envelope;
 
 
@@ -142,7 +142,8 @@
 
 /*
  * An exchange of the sender with a backend server was cut off "age_ms" ago, before its answer had shown that it is sound.
- * "request" is a hash of the request's id, "parts" are the parts of its prompt that other requests may share.
+ * "request" is a hash of the request's id, "parts" are the parts of its prompt that other requests may share,
+ * "fingerprint" is a hash that is the same if the same request comes again, or 0.
  */
 struct  Pond__RequestCut
 {
@@ -154,10 +155,11 @@
   size_t n_parts;
   uint64_t *parts;
   int64_t age_ms;
+  uint64_t fingerprint;
 };
 #define POND__REQUEST_CUT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pond__request_cut__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -176,18 +178,19 @@
 
 
 /*
- * A request with these parts, sent "age_ms" ago, has a sound answer.
+ * A request with these parts and this fingerprint, sent "age_ms" ago, has a sound answer.
  */
-struct  Pond__PartsSound
+struct  Pond__RequestSound
 {
   ProtobufCMessage base;
   size_t n_parts;
   uint64_t *parts;
   int64_t age_ms;
+  uint64_t fingerprint;
 };
-#define POND__PARTS_SOUND__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&pond__parts_sound__descriptor) \
-    , 0,NULL, 0 }
+#define POND__REQUEST_SOUND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pond__request_sound__descriptor) \
+    , 0,NULL, 0, 0 }
 
 
 typedef enum {
@@ -200,7 +203,7 @@
   POND__ENVELOPE__BODY_SERVER_LIMITED = 15,
   POND__ENVELOPE__BODY_REQUEST_CUT = 16,
   POND__ENVELOPE__BODY_SERVER_ENDED = 17,
-  POND__ENVELOPE__BODY_PARTS_SOUND = 18
+  POND__ENVELOPE__BODY_REQUEST_SOUND = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POND__ENVELOPE__BODY__CASE)
 } Pond__Envelope__BodyCase;
 
@@ -220,7 +223,7 @@
     Pond__ServerLimited *server_limited;
     Pond__RequestCut *request_cut;
     Pond__ServerEnded *server_ended;
-    Pond__PartsSound *parts_sound;
+    Pond__RequestSound *request_sound;
   };
 };
 #define POND__ENVELOPE__INIT \
@@ -380,24 +383,24 @@
 void   pond__server_ended__free_unpacked
                      (Pond__ServerEnded *message,
                       ProtobufCAllocator *allocator);
-/* Pond__PartsSound methods */
-void   pond__parts_sound__init
-                     (Pond__PartsSound         *message);
-size_t pond__parts_sound__get_packed_size
-                     (const Pond__PartsSound   *message);
-size_t pond__parts_sound__pack
-                     (const Pond__PartsSound   *message,
+/* Pond__RequestSound methods */
+void   pond__request_sound__init
+                     (Pond__RequestSound         *message);
+size_t pond__request_sound__get_packed_size
+                     (const Pond__RequestSound   *message);
+size_t pond__request_sound__pack
+                     (const Pond__RequestSound   *message,
                       uint8_t             *out);
-size_t pond__parts_sound__pack_to_buffer
-                     (const Pond__PartsSound   *message,
+size_t pond__request_sound__pack_to_buffer
+                     (const Pond__RequestSound   *message,
                       ProtobufCBuffer     *buffer);
-Pond__PartsSound *
-       pond__parts_sound__unpack
+Pond__RequestSound *
+       pond__request_sound__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   pond__parts_sound__free_unpacked
-                     (Pond__PartsSound *message,
+void   pond__request_sound__free_unpacked
+                     (Pond__RequestSound *message,
                       ProtobufCAllocator *allocator);
 /* Pond__Envelope methods */
 void   pond__envelope__init
@@ -444,8 +447,8 @@
 typedef void (*Pond__ServerEnded_Closure)
                  (const Pond__ServerEnded *message,
                   void *closure_data);
-typedef void (*Pond__PartsSound_Closure)
-                 (const Pond__PartsSound *message,
+typedef void (*Pond__RequestSound_Closure)
+                 (const Pond__RequestSound *message,
                   void *closure_data);
 typedef void (*Pond__Envelope_Closure)
                  (const Pond__Envelope *message,
@@ -464,7 +467,7 @@
 extern const ProtobufCMessageDescriptor pond__server_limited__descriptor;
 extern const ProtobufCMessageDescriptor pond__request_cut__descriptor;
 extern const ProtobufCMessageDescriptor pond__server_ended__descriptor;
-extern const ProtobufCMessageDescriptor pond__parts_sound__descriptor;
+extern const ProtobufCMessageDescriptor pond__request_sound__descriptor;
 extern const ProtobufCMessageDescriptor pond__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/quarantine/evidence.c
+++ b/src/quarantine/evidence.c
@@ -103,21 +103,24 @@
 
 /* --- Records ----------------------------------------------------------------------------- */
 
-/* @return the ends that count: those within SAME_CAUSE_MS of each other count once. */
+/* @return the ends that count: those within SAME_CAUSE_MS of each other count once, unless it was the same request,
+ * which was sent again after the first one. */
 static int
 count_ends (const Suspect *s)
 {
-  int64_t counted_ms = 0;
+  const CutRecord *counted = NULL;
   int n = 0;
 
   for (size_t i = 0; i < s->n_records; i++)
     {
       const CutRecord *r = &s->records[i];
 
-      if (!r->ended || (n > 0 && r->cut_ms < counted_ms + SAME_CAUSE_MS))
+      if (!r->ended
+          || (counted && r->cut_ms < counted->cut_ms + SAME_CAUSE_MS
+              && r->request != counted->request))
         continue;
       n++;
-      counted_ms = r->cut_ms;
+      counted = r;
     }
   return n;
 }
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -58,7 +58,8 @@
 const char *
 quarantine_kind_name (QuarantineKind kind)
 {
-  static const char *const NAMES[QUARANTINE_N_KINDS] = { [QUARANTINE_PROMPT_PART] = "part" };
+  static const char *const NAMES[QUARANTINE_N_KINDS]
+      = { [QUARANTINE_PROMPT_PART] = "part", [QUARANTINE_REQUEST] = "request" };
 
   return NAMES[kind];
 }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -6,7 +6,7 @@
 #include "dispatch/drain_set.h"
 #include "quarantine/stopped_keys.h"
 
-/** Of one request; the last part of a prompt belongs to one request alone and is never among them. */
+/** Of one request: parts of its prompt (the last one belongs to it alone and is never among them), and itself. */
 #define QUARANTINE_MAX_KEYS 64
 
 typedef struct Quarantine Quarantine;
--- a/src/quarantine/quarantine_key.h
+++ b/src/quarantine/quarantine_key.h
@@ -8,6 +8,7 @@
 typedef enum
 {
   QUARANTINE_PROMPT_PART, /* a part of the prompt, by itself */
+  QUARANTINE_REQUEST,     /* hash of all of a request that is the same if it comes again */
   QUARANTINE_N_KINDS
 } QuarantineKind;
 
--- a/src/relay/relay_cut.c
+++ b/src/relay/relay_cut.c
@@ -12,7 +12,7 @@
 /* Size of the text of a list of prompt parts. */
 #define PARTS_BYTES 280
 
-/* @return a hash that is the same if the same request comes again, under another id. */
+/* @return a hash that is the same if the same request comes again, under another id; never 0. */
 static uint64_t
 fingerprint (const RelayRequest *q)
 {
@@ -21,23 +21,26 @@
 
   for (size_t i = 0; i < sizeof fields / sizeof fields[0]; i++)
     hash = XXH64 (fields[i], strlen (fields[i]), hash);
-  return XXH64 (q->body_len > 0 ? q->body : "", q->body_len, hash);
+  hash = XXH64 (q->body_len > 0 ? q->body : "", q->body_len, hash);
+  return hash > 0 ? hash : 1;
 }
 
 void
 relay_set_keys (Relay *r)
 {
   const RelayRequest *q = r->request;
-  size_t n = q->n_shared_parts < QUARANTINE_MAX_KEYS ? q->n_shared_parts : QUARANTINE_MAX_KEYS;
+  size_t max = QUARANTINE_MAX_KEYS - 1;
+  size_t n = q->n_shared_parts < max ? q->n_shared_parts : max;
 
   if (n < q->n_shared_parts)
     log_event (LOG_LEVEL_NOTICE, "relay", "parts_ignored", "id=%s parts=%zu", q->id,
                q->n_shared_parts - n);
   r->fingerprint = fingerprint (q);
-  r->keys = talloc_array (r, QuarantineKey, n);
+  r->keys = talloc_array (r, QuarantineKey, n + 1);
   for (size_t i = 0; i < n; i++)
     r->keys[r->n_keys++]
         = (QuarantineKey){ .kind = QUARANTINE_PROMPT_PART, .id = q->shared_parts[i] };
+  r->keys[r->n_keys++] = (QuarantineKey){ .kind = QUARANTINE_REQUEST, .id = r->fingerprint };
 }
 
 bool
--- a/tests/unit/test_evidence.c
+++ b/tests/unit/test_evidence.c
@@ -95,6 +95,26 @@
   talloc_free (e);
 }
 
+/* Guards against a request that a host sends to one server after the other, all within half a second. */
+static void
+ends_under_one_request_that_is_repeated_count_each (void)
+{
+  Evidence *e = evidence_new (NULL, MAX_KEYS);
+  QuarantineKey key = part (GUILTY_PART);
+
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      EvidenceCut c = {
+        .keys = &key, .n_keys = 1, .instance = i, .request = 7, .cut_ms = 1000 + (int64_t)i * 50
+      };
+
+      evidence_add_cut (e, &c);
+      evidence_add_end (e, i, c.cut_ms);
+    }
+  CU_ASSERT_EQUAL (judge (e, 2000), GUILTY_PART);
+  talloc_free (e);
+}
+
 /* Guards against ends that are proved late, all at once, and blame a part with sound answers in between. */
 static void
 sound_answer_clears_ends_that_are_proved_later (void)
@@ -179,6 +199,8 @@
     { "cut_exchange_whose_server_goes_on_counts_nothing",
       cut_exchange_whose_server_goes_on_counts_nothing },
     { "servers_that_end_together_count_once", servers_that_end_together_count_once },
+    { "ends_under_one_request_that_is_repeated_count_each",
+      ends_under_one_request_that_is_repeated_count_each },
     { "sound_answer_clears_ends_that_are_proved_later",
       sound_answer_clears_ends_that_are_proved_later },
     { "sound_answer_to_an_earlier_request_clears_nothing",
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -328,6 +328,8 @@
   char *id;
   ServerInstance server;
 
+  f->request.body = talloc_asprintf (f, "%d", f->backend->n_calls);
+  f->request.body_len = strlen (f->request.body);
   relay_fixture_start (f);
   id = talloc_strdup (f, relay_fixture_last_call (f)->address);
   server = (ServerInstance){ id, id, 0 };
