relay: requests of our own interface have no Host field to hash

What operators saw: since the hash of whole requests came, each host with our own interface ended at its first request, by a segmentation fault: that interface decodes no host name, and strlen() got NULL.

Change: a field that is missing counts as empty.

--- a/src/relay/relay_cut.c
+++ b/src/relay/relay_cut.c
@@ -16,11 +16,11 @@
 static uint64_t
 fingerprint (const RelayRequest *q)
 {
-  const char *const fields[] = { q->account ? q->account : "", q->method, q->host, q->target };
+  const char *const fields[] = { q->account, q->method, q->host, q->target };
   uint64_t hash = 0;
 
   for (size_t i = 0; i < sizeof fields / sizeof fields[0]; i++)
-    hash = XXH64 (fields[i], strlen (fields[i]), hash);
+    hash = XXH64 (fields[i] ? fields[i] : "", fields[i] ? strlen (fields[i]) : 0, hash);
   hash = XXH64 (q->body_len > 0 ? q->body : "", q->body_len, hash);
   return hash > 0 ? hash : 1;
 }
