quarantine: a server that answers a later request has not ended

Shown by a test, not seen by callers yet. A server that has as many connections as it accepts refuses further ones for a moment. Its start was then taken for ended for good, so that each reset of a connection there counted as one more end under the request that was cut off.

Change: a sound answer to a request that was sent after the proof takes it back, with the records that it made count. An answer to an earlier request does not: it may have been under way when the server ended.

server_that_answers_again_has_not_ended fails without it (no such function before); unit and process tests pass.

--- a/src/quarantine/evidence.c
+++ b/src/quarantine/evidence.c
@@ -22,6 +22,12 @@
 
 #define MAX_ENDED 256
 
+typedef struct
+{
+  uint64_t instance;
+  int64_t proved_ms;
+} EndedServer;
+
 typedef struct
 {
   uint64_t instance;
@@ -47,7 +53,7 @@
   GHashTable *suspects; /* by key */
   List by_age;
   size_t max_keys;
-  uint64_t ended[MAX_ENDED]; /* a ring */
+  EndedServer ended[MAX_ENDED]; /* a ring */
   size_t n_ended;
 };
 
@@ -90,15 +96,21 @@
   return g_hash_table_size (e->suspects);
 }
 
-bool
-evidence_has_ended (const Evidence *e, uint64_t instance)
+static EndedServer *
+find_ended (Evidence *e, uint64_t instance)
 {
   size_t n = e->n_ended < MAX_ENDED ? e->n_ended : MAX_ENDED;
 
   for (size_t i = 0; i < n; i++)
-    if (e->ended[i] == instance)
-      return true;
-  return false;
+    if (e->ended[i].instance == instance)
+      return &e->ended[i];
+  return NULL;
+}
+
+bool
+evidence_has_ended (Evidence *e, uint64_t instance)
+{
+  return find_ended (e, instance) != NULL;
 }
 
 /* --- Records ----------------------------------------------------------------------------- */
@@ -232,8 +244,8 @@
   size_t n_keys = 0;
 
   evidence_expire (e, now_ms);
-  if (!evidence_has_ended (e, instance))
-    e->ended[e->n_ended++ % MAX_ENDED] = instance;
+  if (!find_ended (e, instance))
+    e->ended[e->n_ended++ % MAX_ENDED] = (EndedServer){ instance, now_ms };
   for (ListNode *n = list_first (&e->by_age); n; n = list_next (&e->by_age, n))
     {
       Suspect *s = LIST_ENTRY (n, Suspect, node);
@@ -248,6 +260,24 @@
   return n_keys;
 }
 
+void
+evidence_add_alive (Evidence *e, uint64_t instance, int64_t sent_ms)
+{
+  EndedServer *ended = find_ended (e, instance);
+
+  if (!ended || sent_ms <= ended->proved_ms)
+    return;
+  *ended = (EndedServer){ 0 };
+  for (ListNode *n = list_first (&e->by_age); n; n = list_next (&e->by_age, n))
+    {
+      Suspect *s = LIST_ENTRY (n, Suspect, node);
+
+      for (size_t i = 0; i < s->n_records; i++)
+        if (s->records[i].instance == instance)
+          s->records[i].ended = false;
+    }
+}
+
 bool
 evidence_next_untold (Evidence *e, uint64_t instance, QuarantineKey *key, EvidenceCut *cut)
 {
--- a/src/quarantine/evidence.h
+++ b/src/quarantine/evidence.h
@@ -57,7 +57,11 @@
                            EvidenceCut *cut);
 
 /** @return whether the server is known to have ended. */
-bool evidence_has_ended (const Evidence *evidence, uint64_t instance);
+bool evidence_has_ended (Evidence *evidence, uint64_t instance);
+
+/** The server has answered a request that was sent to it at @p sent_ms: if it is thought to have ended before, it has
+ * not. */
+void evidence_add_alive (Evidence *evidence, uint64_t instance, int64_t sent_ms);
 
 /** A request with these keys that was sent at @p sent_ms has a sound answer. @return whether a record was removed that
  * the other hosts know of. */
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -383,8 +383,8 @@
 }
 
 void
-quarantine_add_sound (Quarantine *q, const QuarantineKey *keys, size_t n, int64_t sent_ms,
-                      int64_t now_ms)
+quarantine_add_sound (Quarantine *q, const ServerInstance *server, const QuarantineKey *keys,
+                      size_t n, int64_t sent_ms, int64_t now_ms)
 {
   QuarantineNotice notice
       = { .kind = QUARANTINE_TELL_SOUND, .keys = keys, .n_keys = n, .at_ms = sent_ms };
@@ -393,6 +393,7 @@
   if (n == 0 || atomic_load (&q->n_keys) == 0)
     return;
   pthread_mutex_lock (&q->lock);
+  evidence_add_alive (q->evidence, instance_hash (server), sent_ms);
   changed = add_sound (q, keys, n, sent_ms, "answer", now_ms);
   unlock (q);
   if (changed)
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -80,8 +80,9 @@
                          QuarantineEndSource source, int64_t now_ms);
 
 /** A server has answered a request of this host, sent at @p sent_ms, so far that it will not end under it. */
-void quarantine_add_sound (Quarantine *quarantine, const QuarantineKey *keys, size_t n_keys,
-                           int64_t sent_ms, int64_t now_ms);
+void quarantine_add_sound (Quarantine *quarantine, const ServerInstance *server,
+                           const QuarantineKey *keys, size_t n_keys, int64_t sent_ms,
+                           int64_t now_ms);
 
 /** Applies what another host has told; at_ms is in this host's time. */
 void quarantine_apply (Quarantine *quarantine, const QuarantineNotice *notice, int64_t now_ms);
--- a/src/relay/relay_cut.c
+++ b/src/relay/relay_cut.c
@@ -60,10 +60,13 @@
 void
 relay_report_sound (const Relay *r, Attempt *a)
 {
+  AssignmentServer server;
+
   if (a->sound)
     return;
   a->sound = true;
-  quarantine_add_sound (r->deps->quarantine, r->keys, r->n_keys, a->started_ms,
+  server = assignment_server_state (a->assignment);
+  quarantine_add_sound (r->deps->quarantine, &server.instance, r->keys, r->n_keys, a->started_ms,
                         timers_now_ms (r->deps->timers));
 }
 
--- a/tests/unit/test_evidence.c
+++ b/tests/unit/test_evidence.c
@@ -115,6 +115,25 @@
   talloc_free (e);
 }
 
+/* Guards against a server that only refuses connections for a while, and whose resets then count as ends. */
+static void
+server_that_answers_again_has_not_ended (void)
+{
+  Evidence *e = evidence_new (NULL, MAX_KEYS);
+
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      end (e, FIRST_PART, GUILTY_PART, i, (int64_t)i * 1000);
+      evidence_add_alive (e, i, (int64_t)i * 1000 + 100);
+    }
+  CU_ASSERT_FALSE (evidence_has_ended (e, 1));
+  CU_ASSERT_EQUAL (judge (e, 9000), 0);
+  end (e, FIRST_PART, GUILTY_PART, 4, 4000);
+  evidence_add_alive (e, 4, 3900);
+  CU_ASSERT (evidence_has_ended (e, 4));
+  talloc_free (e);
+}
+
 /* Guards against ends that are proved late, all at once, and blame a part with sound answers in between. */
 static void
 sound_answer_clears_ends_that_are_proved_later (void)
@@ -201,6 +220,7 @@
     { "servers_that_end_together_count_once", servers_that_end_together_count_once },
     { "ends_under_one_request_that_is_repeated_count_each",
       ends_under_one_request_that_is_repeated_count_each },
+    { "server_that_answers_again_has_not_ended", server_that_answers_again_has_not_ended },
     { "sound_answer_clears_ends_that_are_proved_later",
       sound_answer_clears_ends_that_are_proved_later },
     { "sound_answer_to_an_earlier_request_clears_nothing",
