quarantine: count each end of servers whose starts are not known

Servers of tickets, our own interface, have no start time: all starts of one look alike, so that a fleet of two engines could lose them again and again and count two ends in all. Ends more than a second apart count each for such a server, and a sound answer in between says that it has started again, not that it never ended.

server_without_known_starts_counts_each_time fails without it. The search for keys to blame skips those with too few records first.

--- a/src/quarantine/evidence.c
+++ b/src/quarantine/evidence.c
@@ -10,6 +10,9 @@
 /* Servers that end within this time of each other may have one cause outside them, and count as one end. */
 #define SAME_CAUSE_MS 500
 
+/* Ends of a server whose starts are not known are different ones if they are so far apart. */
+#define RESTART_MS 1000
+
 /* If several keys may be to blame, sound answers to the innocent ones are waited for. */
 #define SETTLE_MS 1000
 
@@ -213,14 +216,16 @@
 }
 
 static void
-add_record (Evidence *e, QuarantineKey key, size_t depth, const CutRecord *record)
+add_record (Evidence *e, QuarantineKey key, size_t depth, const CutRecord *record,
+            int64_t same_start_ms)
 {
   Suspect *s = get_suspect (e, key);
 
   if (depth > s->depth)
     s->depth = depth;
   for (size_t i = 0; i < s->n_records; i++)
-    if (s->records[i].instance == record->instance)
+    if (s->records[i].instance == record->instance
+        && record->cut_ms - s->records[i].cut_ms < same_start_ms)
       return;
   insert_record (s, record);
 }
@@ -235,7 +240,7 @@
                        .untold = cut->untold };
 
   for (size_t i = 0; i < cut->n_keys; i++)
-    add_record (e, cut->keys[i], i, &record);
+    add_record (e, cut->keys[i], i, &record, cut->has_unknown_start ? RESTART_MS : INT64_MAX);
 }
 
 size_t
@@ -243,7 +248,6 @@
 {
   size_t n_keys = 0;
 
-  evidence_expire (e, now_ms);
   if (!find_ended (e, instance))
     e->ended[e->n_ended++ % MAX_ENDED] = (EndedServer){ instance, now_ms };
   for (ListNode *n = list_first (&e->by_age); n; n = list_next (&e->by_age, n))
@@ -261,13 +265,15 @@
 }
 
 void
-evidence_add_alive (Evidence *e, uint64_t instance, int64_t sent_ms)
+evidence_add_alive (Evidence *e, uint64_t instance, bool has_unknown_start, int64_t sent_ms)
 {
   EndedServer *ended = find_ended (e, instance);
 
   if (!ended || sent_ms <= ended->proved_ms)
     return;
   *ended = (EndedServer){ 0 };
+  if (has_unknown_start)
+    return;
   for (ListNode *n = list_first (&e->by_age); n; n = list_next (&e->by_age, n))
     {
       Suspect *s = LIST_ENTRY (n, Suspect, node);
@@ -407,7 +413,7 @@
     {
       Suspect *s = LIST_ENTRY (n, Suspect, node);
 
-      if (count_ends (s) < EVIDENCE_ENDS)
+      if (s->n_records < EVIDENCE_ENDS || count_ends (s) < EVIDENCE_ENDS)
         continue;
       if (!s->blamed_ms)
         s->blamed_ms = now_ms;
@@ -469,7 +475,7 @@
                            .cut_ms = now_ms - (int64_t)(n - i) * SAME_CAUSE_MS,
                            .ended = true };
 
-      add_record (e, key, 0, &record);
+      add_record (e, key, 0, &record, INT64_MAX);
     }
 }
 
@@ -480,7 +486,7 @@
     {
       Suspect *s = LIST_ENTRY (n, Suspect, node);
 
-      if (s->reported || count_ends (s) != EVIDENCE_ENDS - 1
+      if (s->reported || s->n_records < EVIDENCE_ENDS - 1 || count_ends (s) != EVIDENCE_ENDS - 1
           || now_ms < s->records[s->n_records - 1].cut_ms + REPORT_DELAY_MS)
         continue;
       s->reported = true;
--- a/src/quarantine/evidence.h
+++ b/src/quarantine/evidence.h
@@ -25,8 +25,9 @@
 {
   const QuarantineKey *keys; /* the later ones are the more specific ones */
   size_t n_keys;
-  uint64_t instance; /* hash of the server's start */
-  uint64_t request;  /* hash of the request's id */
+  uint64_t instance;      /* hash of the server's start */
+  bool has_unknown_start; /* all starts of the server have the same hash */
+  uint64_t request;       /* hash of the request's id */
   int64_t cut_ms;
   bool untold; /* the other hosts are told only if the server turns out to have ended */
 } EvidenceCut;
@@ -60,8 +61,9 @@
 bool evidence_has_ended (Evidence *evidence, uint64_t instance);
 
 /** The server has answered a request that was sent to it at @p sent_ms: if it is thought to have ended before, it has
- * not. */
-void evidence_add_alive (Evidence *evidence, uint64_t instance, int64_t sent_ms);
+ * not, or it has started again if its starts are not known. */
+void evidence_add_alive (Evidence *evidence, uint64_t instance, bool has_unknown_start,
+                         int64_t sent_ms);
 
 /** A request with these keys that was sent at @p sent_ms has a sound answer. @return whether a record was removed that
  * the other hosts know of. */
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -226,6 +226,7 @@
   EvidenceCut cut = { .keys = n->keys,
                       .n_keys = n->n_keys,
                       .instance = instance_hash (&n->server),
+                      .has_unknown_start = n->server.started_ms == 0,
                       .request = n->request,
                       .cut_ms = n->at_ms,
                       .untold = untold };
@@ -393,7 +394,7 @@
   if (n == 0 || atomic_load (&q->n_keys) == 0)
     return;
   pthread_mutex_lock (&q->lock);
-  evidence_add_alive (q->evidence, instance_hash (server), sent_ms);
+  evidence_add_alive (q->evidence, instance_hash (server), server->started_ms == 0, sent_ms);
   changed = add_sound (q, keys, n, sent_ms, "answer", now_ms);
   unlock (q);
   if (changed)
--- a/tests/unit/test_evidence.c
+++ b/tests/unit/test_evidence.c
@@ -124,16 +124,41 @@
   for (uint64_t i = 1; i <= 3; i++)
     {
       end (e, FIRST_PART, GUILTY_PART, i, (int64_t)i * 1000);
-      evidence_add_alive (e, i, (int64_t)i * 1000 + 100);
+      evidence_add_alive (e, i, false, (int64_t)i * 1000 + 100);
     }
   CU_ASSERT_FALSE (evidence_has_ended (e, 1));
   CU_ASSERT_EQUAL (judge (e, 9000), 0);
   end (e, FIRST_PART, GUILTY_PART, 4, 4000);
-  evidence_add_alive (e, 4, 3900);
+  evidence_add_alive (e, 4, false, 3900);
   CU_ASSERT (evidence_has_ended (e, 4));
   talloc_free (e);
 }
 
+/* Guards against servers whose starts are not known, and which count only once, however often they end. */
+static void
+server_without_known_starts_counts_each_time (void)
+{
+  Evidence *e = evidence_new (NULL, MAX_KEYS);
+  QuarantineKey key = part (GUILTY_PART);
+
+  for (int64_t i = 1; i <= 3; i++)
+    {
+      EvidenceCut c = { .keys = &key,
+                        .n_keys = 1,
+                        .instance = 9,
+                        .has_unknown_start = true,
+                        .request = (uint64_t)i,
+                        .cut_ms = i * 10000 };
+
+      evidence_add_cut (e, &c);
+      evidence_add_cut (e, &c);
+      evidence_add_end (e, 9, c.cut_ms + 100);
+      evidence_add_alive (e, 9, true, c.cut_ms + 5000);
+    }
+  CU_ASSERT_EQUAL (judge (e, 40000), GUILTY_PART);
+  talloc_free (e);
+}
+
 /* Guards against ends that are proved late, all at once, and blame a part with sound answers in between. */
 static void
 sound_answer_clears_ends_that_are_proved_later (void)
@@ -221,6 +246,8 @@
     { "ends_under_one_request_that_is_repeated_count_each",
       ends_under_one_request_that_is_repeated_count_each },
     { "server_that_answers_again_has_not_ended", server_that_answers_again_has_not_ended },
+    { "server_without_known_starts_counts_each_time",
+      server_without_known_starts_counts_each_time },
     { "sound_answer_clears_ends_that_are_proved_later",
       sound_answer_clears_ends_that_are_proved_later },
     { "sound_answer_to_an_earlier_request_clears_nothing",
