--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -7,10 +7,14 @@
 #include <string.h>
 
 #include <jansson.h>
+#include <unistd.h>
+
 #include <talloc.h>
 
 #define MAX_BODY_BYTES ((size_t)16 << 20)
 
+static char *exit_on; /* NULL: never */
+
 static const char *const FAULT_NAMES[N_FAULTS]
     = { "refuse", "close_before", "close_mid", "silent", "wrong_id", "slow", "run_then_close" };
 
@@ -33,6 +37,8 @@
   int load_interval = 100;
   const GOptionEntry shared_entries[]
       = { { "listen", 0, 0, G_OPTION_ARG_STRING, &listen, "Address", "IP:PORT" },
+          { "exit-on", 0, 0, G_OPTION_ARG_STRING, &exit_on,
+            "End the process when a request's body contains this", "TEXT" },
           { "load-lag-ms", 0, 0, G_OPTION_ARG_INT, &load_interval, "Interval between load reports",
             "MS" },
           { 0 } };
@@ -215,6 +221,16 @@
   standin_respond (s, call, 200, "", text);
 }
 
+static void
+exit_if_asked (HttpCall *call)
+{
+  size_t len;
+  const char *body = http_call_body (call, &len);
+
+  if (exit_on && body && memmem (body, len, exit_on, strlen (exit_on)))
+    _exit (3);
+}
+
 bool
 standin_handle_common (Standin *s, HttpCall *call)
 {
@@ -222,6 +238,7 @@
   bool post = !strcmp (http_call_method (call), "POST");
   char *id;
 
+  exit_if_asked (call);
   if (post && !strcmp (target, "/admin/faults"))
     set_faults (s, call);
   else if (!strcmp (target, "/admin/stats"))
