--- a/src/quarantine/evidence.c
+++ b/src/quarantine/evidence.c
@@ -1,65 +1,16 @@
-#include "quarantine/evidence.h"
+#include "quarantine/evidence_impl.h"
 
 #include <string.h>
 
-#include <glib.h>
 #include <talloc.h>
 
-#include "core/list.h"
-
-/* Servers that end within this time of each other may have one cause outside them, and count as one end. */
-#define SAME_CAUSE_MS 500
-
 /* Ends of a server whose starts are not known are different ones if they are so far apart. */
 #define RESTART_MS 1000
 
-/* If several keys may be to blame, sound answers to the innocent ones are waited for. */
-#define SETTLE_MS 1000
-
-/* Time in which a sound answer can clear a key before other hosts are told of its last end but one. */
-#define REPORT_DELAY_MS 500
-
 /* A record counts for the first of these times after the cut if its server's end is not proved, else for the second. */
 #define UNPROVED_LIFETIME_MS 15000
 #define PROVED_LIFETIME_MS   (60 * 60 * 1000)
 
-#define MAX_ENDED 256
-
-typedef struct
-{
-  uint64_t instance;
-  int64_t proved_ms;
-} EndedServer;
-
-typedef struct
-{
-  uint64_t instance;
-  uint64_t request;
-  int64_t cut_ms;
-  bool ended; /* the server is proved to have ended */
-  bool untold;
-} CutRecord;
-
-typedef struct
-{
-  ListNode node; /* in the order of the last record */
-  QuarantineKey key;
-  size_t depth; /* place among the keys of the request: the higher, the more specific */
-  CutRecord records[EVIDENCE_MAX_RECORDS]; /* in order of time */
-  size_t n_records;
-  int64_t blamed_ms; /* since when it may be to blame; 0: it is not */
-  bool reported;     /* by evidence_next_suspect() */
-} Suspect;
-
-struct Evidence
-{
-  GHashTable *suspects; /* by key */
-  List by_age;
-  size_t max_keys;
-  EndedServer ended[MAX_ENDED]; /* a ring */
-  size_t n_ended;
-};
-
 static guint
 key_hash (gconstpointer data)
 {
@@ -118,30 +69,8 @@
 
 /* --- Records ----------------------------------------------------------------------------- */
 
-/* @return the ends that count: those within SAME_CAUSE_MS of each other count once, unless it was the same request,
- * which was sent again after the first one. */
-static int
-count_ends (const Suspect *s)
-{
-  const CutRecord *counted = NULL;
-  int n = 0;
-
-  for (size_t i = 0; i < s->n_records; i++)
-    {
-      const CutRecord *r = &s->records[i];
-
-      if (!r->ended
-          || (counted && r->cut_ms < counted->cut_ms + SAME_CAUSE_MS
-              && r->request != counted->request))
-        continue;
-      n++;
-      counted = r;
-    }
-  return n;
-}
-
-static void
-free_suspect (Evidence *e, Suspect *s)
+void
+evidence_free_suspect (Evidence *e, Suspect *s)
 {
   g_hash_table_remove (e->suspects, &s->key);
   list_remove (&s->node);
@@ -158,7 +87,7 @@
   for (ListNode *n = list_first (&e->by_age); n; n = list_next (&e->by_age, n))
     {
       Suspect *s = LIST_ENTRY (n, Suspect, node);
-      int ends = count_ends (s);
+      int ends = evidence_count_ends (s);
 
       if (!least || ends < least_ends)
         {
@@ -169,7 +98,7 @@
         break;
     }
   if (least)
-    free_suspect (e, least);
+    evidence_free_suspect (e, least);
 }
 
 static Suspect *
@@ -192,8 +121,8 @@
   return s;
 }
 
-static void
-remove_record (Suspect *s, size_t i)
+void
+evidence_remove_record (Suspect *s, size_t i)
 {
   s->n_records--;
   memmove (&s->records[i], &s->records[i + 1], (s->n_records - i) * sizeof s->records[0]);
@@ -206,7 +135,7 @@
   size_t at;
 
   if (s->n_records == EVIDENCE_MAX_RECORDS)
-    remove_record (s, 1);
+    evidence_remove_record (s, 1);
   at = s->n_records;
   while (at > 0 && s->records[at - 1].cut_ms > record->cut_ms)
     at--;
@@ -243,6 +172,21 @@
     add_record (e, cut->keys[i], i, &record, cut->has_unknown_start ? RESTART_MS : INT64_MAX);
 }
 
+void
+evidence_add_told (Evidence *e, QuarantineKey key, const uint64_t *instances, size_t n,
+                   int64_t now_ms)
+{
+  for (size_t i = 0; i < n; i++)
+    {
+      /* Ends at different times count each; when exactly they were is not told. */
+      CutRecord record = { .instance = instances[i],
+                           .cut_ms = now_ms - (int64_t)(n - i) * SAME_CAUSE_MS,
+                           .ended = true };
+
+      add_record (e, key, 0, &record, INT64_MAX);
+    }
+}
+
 size_t
 evidence_add_end (Evidence *e, uint64_t instance, int64_t now_ms)
 {
@@ -324,12 +268,12 @@
       while (s->n_records > 0 && s->records[0].cut_ms <= sent_ms)
         {
           removed |= !s->records[0].untold;
-          remove_record (s, 0);
+          evidence_remove_record (s, 0);
         }
       s->blamed_ms = 0;
       s->reported = false;
       if (s->n_records == 0)
-        free_suspect (e, s);
+        evidence_free_suspect (e, s);
     }
   return removed;
 }
@@ -342,7 +286,7 @@
       const CutRecord *r = &s->records[i];
 
       if (now_ms - r->cut_ms > (r->ended ? PROVED_LIFETIME_MS : UNPROVED_LIFETIME_MS))
-        remove_record (s, i);
+        evidence_remove_record (s, i);
     }
 }
 
@@ -358,156 +302,6 @@
       n = list_next (&e->by_age, n);
       expire_records (s, now_ms);
       if (s->n_records == 0)
-        free_suspect (e, s);
+        evidence_free_suspect (e, s);
     }
 }
-
-/* --- Verdict ----------------------------------------------------------------------------- */
-
-/* Keys that were cut off in the same requests each time cannot be told apart. */
-static bool
-is_same_group (const Suspect *a, const Suspect *b)
-{
-  if (a->n_records != b->n_records)
-    return false;
-  for (size_t i = 0; i < a->n_records; i++)
-    if (a->records[i].request != b->records[i].request
-        || a->records[i].instance != b->records[i].instance)
-      return false;
-  return true;
-}
-
-/* More ends first; then the more specific key: stopping it stops fewer sound requests. */
-static bool
-is_more_suspect (const Suspect *a, const Suspect *b)
-{
-  int ends_a = count_ends (a);
-  int ends_b = count_ends (b);
-
-  return ends_a != ends_b ? ends_a > ends_b : a->depth > b->depth;
-}
-
-typedef struct
-{
-  Suspect *groups[EVIDENCE_MAX_BLAMED + 1]; /* one key of each */
-  size_t n_groups;
-  Suspect *worst;
-} Blamed;
-
-static void
-add_to_group (Blamed *b, Suspect *s)
-{
-  for (size_t i = 0; i < b->n_groups; i++)
-    if (is_same_group (b->groups[i], s))
-      return;
-  if (b->n_groups <= EVIDENCE_MAX_BLAMED)
-    b->groups[b->n_groups++] = s;
-}
-
-static Blamed
-find_blamed (Evidence *e, int64_t now_ms)
-{
-  Blamed b = { 0 };
-
-  for (ListNode *n = list_first (&e->by_age); n; n = list_next (&e->by_age, n))
-    {
-      Suspect *s = LIST_ENTRY (n, Suspect, node);
-
-      if (s->n_records < EVIDENCE_ENDS || count_ends (s) < EVIDENCE_ENDS)
-        continue;
-      if (!s->blamed_ms)
-        s->blamed_ms = now_ms;
-      add_to_group (&b, s);
-      if (!b.worst || is_more_suspect (s, b.worst))
-        b.worst = s;
-    }
-  return b;
-}
-
-static EvidenceVerdict
-verdict_on (const Suspect *s)
-{
-  EvidenceVerdict v = { .key = s->key, .ends = count_ends (s), .first_ms = s->records[0].cut_ms };
-
-  for (size_t i = 0; i < s->n_records; i++)
-    if (s->records[i].ended)
-      v.instances[v.n_instances++] = s->records[i].instance;
-  return v;
-}
-
-static bool
-has_instance (const EvidenceVerdict *v, uint64_t instance)
-{
-  for (size_t i = 0; i < v->n_instances; i++)
-    if (v->instances[i] == instance)
-      return true;
-  return false;
-}
-
-/* The ends have their cause now: they say nothing against other keys any more. */
-static void
-remove_explained (Evidence *e, const EvidenceVerdict *v)
-{
-  ListNode *n = list_first (&e->by_age);
-
-  while (n)
-    {
-      Suspect *s = LIST_ENTRY (n, Suspect, node);
-
-      n = list_next (&e->by_age, n);
-      for (size_t i = s->n_records; i-- > 0;)
-        if (has_instance (v, s->records[i].instance))
-          remove_record (s, i);
-      s->blamed_ms = 0;
-      if (s->n_records == 0)
-        free_suspect (e, s);
-    }
-}
-
-void
-evidence_add_told (Evidence *e, QuarantineKey key, const uint64_t *instances, size_t n,
-                   int64_t now_ms)
-{
-  for (size_t i = 0; i < n; i++)
-    {
-      /* Ends at different times count each; when exactly they were is not told. */
-      CutRecord record = { .instance = instances[i],
-                           .cut_ms = now_ms - (int64_t)(n - i) * SAME_CAUSE_MS,
-                           .ended = true };
-
-      add_record (e, key, 0, &record, INT64_MAX);
-    }
-}
-
-bool
-evidence_next_suspect (Evidence *e, int64_t now_ms, EvidenceVerdict *suspect)
-{
-  for (ListNode *n = list_first (&e->by_age); n; n = list_next (&e->by_age, n))
-    {
-      Suspect *s = LIST_ENTRY (n, Suspect, node);
-
-      if (s->reported || s->n_records < EVIDENCE_ENDS - 1 || count_ends (s) != EVIDENCE_ENDS - 1
-          || now_ms < s->records[s->n_records - 1].cut_ms + REPORT_DELAY_MS)
-        continue;
-      s->reported = true;
-      *suspect = verdict_on (s);
-      return true;
-    }
-  return false;
-}
-
-bool
-evidence_judge (Evidence *e, int64_t now_ms, EvidenceVerdict *verdict, size_t *n_blamed)
-{
-  Blamed b = find_blamed (e, now_ms);
-
-  *n_blamed = b.n_groups;
-  if (b.n_groups == 0 || b.n_groups > EVIDENCE_MAX_BLAMED)
-    return false;
-  if (b.n_groups > 1 && now_ms < b.worst->blamed_ms + SETTLE_MS)
-    return false;
-  *verdict = verdict_on (b.worst);
-  free_suspect (e, b.worst);
-  remove_explained (e, verdict);
-  return true;
-}
--- /dev/null
+++ b/src/quarantine/evidence_judge.c
@@ -0,0 +1,164 @@
+#include "quarantine/evidence_impl.h"
+
+/* If several keys may be to blame, sound answers to the innocent ones are waited for. */
+#define SETTLE_MS 1000
+
+/* Time in which a sound answer can clear a key before other hosts are told of its last end but one. */
+#define REPORT_DELAY_MS 500
+
+/* @return the ends that count: those within SAME_CAUSE_MS of each other count once, unless it was the same request,
+ * which was sent again after the first one. */
+int
+evidence_count_ends (const Suspect *s)
+{
+  const CutRecord *counted = NULL;
+  int n = 0;
+
+  for (size_t i = 0; i < s->n_records; i++)
+    {
+      const CutRecord *r = &s->records[i];
+
+      if (!r->ended
+          || (counted && r->cut_ms < counted->cut_ms + SAME_CAUSE_MS
+              && r->request != counted->request))
+        continue;
+      n++;
+      counted = r;
+    }
+  return n;
+}
+
+/* Keys that were cut off in the same requests each time cannot be told apart. */
+static bool
+is_same_group (const Suspect *a, const Suspect *b)
+{
+  if (a->n_records != b->n_records)
+    return false;
+  for (size_t i = 0; i < a->n_records; i++)
+    if (a->records[i].request != b->records[i].request
+        || a->records[i].instance != b->records[i].instance)
+      return false;
+  return true;
+}
+
+/* More ends first; then the more specific key: stopping it stops fewer sound requests. */
+static bool
+is_more_suspect (const Suspect *a, const Suspect *b)
+{
+  int ends_a = evidence_count_ends (a);
+  int ends_b = evidence_count_ends (b);
+
+  return ends_a != ends_b ? ends_a > ends_b : a->depth > b->depth;
+}
+
+typedef struct
+{
+  Suspect *groups[EVIDENCE_MAX_BLAMED + 1]; /* one key of each */
+  size_t n_groups;
+  Suspect *worst;
+} Blamed;
+
+static void
+add_to_group (Blamed *b, Suspect *s)
+{
+  for (size_t i = 0; i < b->n_groups; i++)
+    if (is_same_group (b->groups[i], s))
+      return;
+  if (b->n_groups <= EVIDENCE_MAX_BLAMED)
+    b->groups[b->n_groups++] = s;
+}
+
+static Blamed
+find_blamed (Evidence *e, int64_t now_ms)
+{
+  Blamed b = { 0 };
+
+  for (ListNode *n = list_first (&e->by_age); n; n = list_next (&e->by_age, n))
+    {
+      Suspect *s = LIST_ENTRY (n, Suspect, node);
+
+      if (s->n_records < EVIDENCE_ENDS || evidence_count_ends (s) < EVIDENCE_ENDS)
+        continue;
+      if (!s->blamed_ms)
+        s->blamed_ms = now_ms;
+      add_to_group (&b, s);
+      if (!b.worst || is_more_suspect (s, b.worst))
+        b.worst = s;
+    }
+  return b;
+}
+
+static EvidenceVerdict
+verdict_on (const Suspect *s)
+{
+  EvidenceVerdict v
+      = { .key = s->key, .ends = evidence_count_ends (s), .first_ms = s->records[0].cut_ms };
+
+  for (size_t i = 0; i < s->n_records; i++)
+    if (s->records[i].ended)
+      v.instances[v.n_instances++] = s->records[i].instance;
+  return v;
+}
+
+static bool
+has_instance (const EvidenceVerdict *v, uint64_t instance)
+{
+  for (size_t i = 0; i < v->n_instances; i++)
+    if (v->instances[i] == instance)
+      return true;
+  return false;
+}
+
+/* The ends have their cause now: they say nothing against other keys any more. */
+static void
+remove_explained (Evidence *e, const EvidenceVerdict *v)
+{
+  ListNode *n = list_first (&e->by_age);
+
+  while (n)
+    {
+      Suspect *s = LIST_ENTRY (n, Suspect, node);
+
+      n = list_next (&e->by_age, n);
+      for (size_t i = s->n_records; i-- > 0;)
+        if (has_instance (v, s->records[i].instance))
+          evidence_remove_record (s, i);
+      s->blamed_ms = 0;
+      if (s->n_records == 0)
+        evidence_free_suspect (e, s);
+    }
+}
+
+bool
+evidence_next_suspect (Evidence *e, int64_t now_ms, EvidenceVerdict *suspect)
+{
+  for (ListNode *n = list_first (&e->by_age); n; n = list_next (&e->by_age, n))
+    {
+      Suspect *s = LIST_ENTRY (n, Suspect, node);
+
+      if (s->reported || s->n_records < EVIDENCE_ENDS - 1
+          || evidence_count_ends (s) != EVIDENCE_ENDS - 1
+          || now_ms < s->records[s->n_records - 1].cut_ms + REPORT_DELAY_MS)
+        continue;
+      s->reported = true;
+      *suspect = verdict_on (s);
+      return true;
+    }
+  return false;
+}
+
+bool
+evidence_judge (Evidence *e, int64_t now_ms, EvidenceVerdict *verdict, size_t *n_blamed)
+{
+  Blamed b = find_blamed (e, now_ms);
+
+  *n_blamed = b.n_groups;
+  if (b.n_groups == 0 || b.n_groups > EVIDENCE_MAX_BLAMED)
+    return false;
+  if (b.n_groups > 1 && now_ms < b.worst->blamed_ms + SETTLE_MS)
+    return false;
+  *verdict = verdict_on (b.worst);
+  evidence_free_suspect (e, b.worst);
+  remove_explained (e, verdict);
+  return true;
+}
