dispatch, tests: remove fields that nothing reads

DispatchQuery carried the latency objective and the priority, which no policy uses, and the stand-ins a callback that nothing sets (findings by reading). ServerRecord.version stays: it is decoded and a test reads it. Unit tests pass.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -91,8 +91,6 @@
 {
   const CatalogService *service;
   int64_t now_ms;
-  int64_t target_latency_ms; /* latency objective; not used for the choice, nor is the priority */
-  int priority;
   bool is_retry; /* not the first attempt of the request: counts against the retry limits */
   Tokens prompt_tokens;
   Tokens max_tokens; /* of the response */
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -28,8 +28,6 @@
 
   *q = (DispatchQuery){ .service = request->service,
                         .now_ms = timers_now_ms (r->deps->timers),
-                        .target_latency_ms = request->target_latency_ms,
-                        .priority = request->priority,
                         .is_retry = r->sends > 0,
                         .prompt_tokens = request->prompt_tokens,
                         .max_tokens = request->max_tokens,
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -49,7 +49,6 @@
   int64_t refused;
   int64_t tokens;    /* of prompts and output */
   GHashTable *by_id; /* request id to StandinRequestCounts */
-  void (*request) (Standin *standin, HttpCall *call);
 };
 
 typedef struct
--- a/tests/unit/dispatch_fixture.c
+++ b/tests/unit/dispatch_fixture.c
@@ -100,7 +100,6 @@
   parts[2] = (PromptPart){ rng_next (&fx->rng), own };
   *q = (DispatchQuery){ .service = fx->engine_service,
                         .now_ms = fx->now_ms,
-                        .target_latency_ms = 1000,
                         .prompt_tokens = session ? 100 + shared + own : own,
                         .max_tokens = 500,
                         .parts = parts,
