relay: refuse a stopped request before its budget is asked

What callers saw: a request that must not be sent to any server was refused only after its tokens had been reserved. While the budget could not be reached it waited for that, and was then refused for its budget instead, with the promise of a time to come back that means nothing.

Cause: the quarantine was asked right before sending only. Change: it is asked before the reservation too, without using up an open trial; the check before each send stays, as the part may be stopped in between.

stopped_request_does_not_wait_for_its_budget fails without the early check (no response, no "quarantined"). Unit tests and the process test of the quarantine pass.

--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -188,8 +188,8 @@
 }
 
 bool
-quarantine_allows (Quarantine *q, const QuarantineKey *keys, size_t n_keys, int64_t now_ms,
-                   QuarantineRefusal *refusal)
+quarantine_allows (Quarantine *q, const QuarantineKey *keys, size_t n_keys, bool is_sent,
+                   int64_t now_ms, QuarantineRefusal *refusal)
 {
   StoppedCheck check = STOPPED_NOT;
 
@@ -199,8 +199,8 @@
   for (size_t i = 0; i < n_keys && check != STOPPED_REFUSE; i++)
     {
       refusal->key = keys[i];
-      check = stopped_keys_check (q->stopped, keys[i], now_ms, &refusal->retry_after_ms);
-      if (check == STOPPED_TRIAL)
+      check = stopped_keys_check (q->stopped, keys[i], is_sent, now_ms, &refusal->retry_after_ms);
+      if (check == STOPPED_TRIAL && is_sent)
         log_event (LOG_LEVEL_NOTICE, "quarantine", "trial", "kind=%s key=%" PRIx64,
                    quarantine_kind_name (keys[i].kind), keys[i].id);
     }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -63,9 +63,10 @@
 /** Sets the number of hosts, over which the writes of one row are spread. */
 void quarantine_set_hosts (Quarantine *quarantine, int hosts);
 
-/** Must precede each send. @return whether the request may be sent. */
+/** Must precede each send, with @p is_sent; before anything is waited for, without.
+ * @return whether the request may be sent. */
 bool quarantine_allows (Quarantine *quarantine, const QuarantineKey *keys, size_t n_keys,
-                        int64_t now_ms, QuarantineRefusal *refusal);
+                        bool is_sent, int64_t now_ms, QuarantineRefusal *refusal);
 
 /** A server, or something before it, has ended an exchange of this host before its answer was complete. */
 void quarantine_add_cut (Quarantine *quarantine, const QuarantineCut *cut, int64_t now_ms);
--- a/src/quarantine/stopped_keys.c
+++ b/src/quarantine/stopped_keys.c
@@ -161,7 +161,8 @@
 }
 
 StoppedCheck
-stopped_keys_check (StoppedKeys *s, QuarantineKey key, int64_t now_ms, int64_t *retry_after)
+stopped_keys_check (StoppedKeys *s, QuarantineKey key, bool is_sent, int64_t now_ms,
+                    int64_t *retry_after)
 {
   StoppedKey *k = find (s, key);
 
@@ -169,7 +170,8 @@
     return STOPPED_NOT;
   if (now_ms < k->trial_until_ms)
     {
-      k->trial_until_ms = 0;
+      if (is_sent)
+        k->trial_until_ms = 0;
       return STOPPED_TRIAL;
     }
   if (k->row_version > 0 && k->row.trials < N_TRIALS && now_ms >= next_trial_ms (k))
--- a/src/quarantine/stopped_keys.h
+++ b/src/quarantine/stopped_keys.h
@@ -62,9 +62,10 @@
                        int64_t now_ms);
 
 /** Must precede each send of a request with the key.
+ * @param is_sent the request is sent at once if the result allows it: an open trial is used up
  * @param retry_after_ms set if the request is refused: when the next trial is due. */
-StoppedCheck stopped_keys_check (StoppedKeys *stopped, QuarantineKey key, int64_t now_ms,
-                                 int64_t *retry_after_ms);
+StoppedCheck stopped_keys_check (StoppedKeys *stopped, QuarantineKey key, bool is_sent,
+                                 int64_t now_ms, int64_t *retry_after_ms);
 
 /** A request with the key that was sent at @p sent_ms has a sound answer. @return whether the key was stopped
  * and is no longer. */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -80,6 +80,11 @@
   bool waits = false;
   Err err = ERR_INIT;
 
+  if (!relay_check_quarantine (r, false, &err))
+    {
+      relay_finish_error (r, &err);
+      return;
+    }
   if (request.tokens == 0 || !q->has_budget)
     {
       relay_start_attempt (r);
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -82,8 +82,9 @@
   Assignment *assignment;
 
   fill_query (r, &query);
-  assignment = relay_check_quarantine (r, &err) ? dispatch_pick (r->deps->dispatch, r, &query, &err)
-                                                : NULL;
+  assignment = relay_check_quarantine (r, true, &err)
+                   ? dispatch_pick (r->deps->dispatch, r, &query, &err)
+                   : NULL;
   if (!assignment)
     {
       relay_finish_error (r, &err);
--- a/src/relay/relay_cut.c
+++ b/src/relay/relay_cut.c
@@ -44,12 +44,12 @@
 }
 
 bool
-relay_check_quarantine (const Relay *r, Err *err)
+relay_check_quarantine (const Relay *r, bool is_sent, Err *err)
 {
   QuarantineRefusal refusal;
 
-  if (quarantine_allows (r->deps->quarantine, r->keys, r->n_keys, timers_now_ms (r->deps->timers),
-                         &refusal))
+  if (quarantine_allows (r->deps->quarantine, r->keys, r->n_keys, is_sent,
+                         timers_now_ms (r->deps->timers), &refusal))
     return true;
   err_set (err, ERR_QUARANTINED, "servers have ended under requests with %s %" PRIx64,
            quarantine_kind_name (refusal.key.kind), refusal.key.id);
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -90,8 +90,8 @@
 
 /* relay_cut.c */
 void relay_set_keys (Relay *r);
-/* @return whether the request may be sent to a server. */
-bool relay_check_quarantine (const Relay *r, Err *err);
+/* @param is_sent false: before its budget is reserved. @return whether the request may be sent to a server. */
+bool relay_check_quarantine (const Relay *r, bool is_sent, Err *err);
 /* @return whether the response shows by itself that it is complete, rather than by the end of its connection. */
 bool relay_has_provable_end (const Attempt *a);
 /* The answer has come so far that its server will not end under the request. */
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -286,6 +286,21 @@
   relay_fixture_free (f);
 }
 
+/* Guards against a stopped request that waits for a budget which cannot be reached. */
+static void
+stopped_request_does_not_wait_for_its_budget (void)
+{
+  RelayFixture *f = start_with_part ();
+
+  end_servers (f, 0, 3);
+  f->budgets->hosts[0].store_client->drop_calls = true;
+  f->request.prompt_tokens = RELAY_FIXTURE_BUDGET / 2;
+  relay_fixture_start (f);
+  CU_ASSERT_EQUAL (f->n_responses, 1);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f->body, "quarantined"));
+  relay_fixture_free (f);
+}
+
 static const char *const UNFRAMED[] = { "X-Request-Id", "r-1", "X-Response-Seal", "s", NULL };
 
 /* Guards against a crash that looks like a whole answer and clears the part that caused it. */
@@ -307,9 +322,9 @@
       fake_backend_end_response (relay_fixture_last_call (f));
       CU_ASSERT (f->ended);
       end_servers (f, 2, 3);
-      CU_ASSERT_EQUAL (
-          quarantine_allows (f->quarantine, &PART, 1, timers_now_ms (f->deps.timers), &refusal),
-          framed);
+      CU_ASSERT_EQUAL (quarantine_allows (f->quarantine, &PART, 1, true,
+                                          timers_now_ms (f->deps.timers), &refusal),
+                       framed);
       relay_fixture_free (f);
     }
 }
@@ -360,7 +375,7 @@
   for (int i = 0; i < 3; i++)
     end_server_under_unframed_answer (f);
   CU_ASSERT_FALSE (
-      quarantine_allows (f->quarantine, &PART, 1, timers_now_ms (f->deps.timers), &refusal));
+      quarantine_allows (f->quarantine, &PART, 1, true, timers_now_ms (f->deps.timers), &refusal));
   relay_fixture_free (f);
 }
 
@@ -391,6 +406,8 @@
       request_that_comes_again_and_crashes_servers_is_stopped },
     { "repeatable_request_that_crashes_servers_is_stopped",
       repeatable_request_that_crashes_servers_is_stopped },
+    { "stopped_request_does_not_wait_for_its_budget",
+      stopped_request_does_not_wait_for_its_budget },
   };
 
   return harness_run ("quarantine", CASES, sizeof CASES / sizeof CASES[0]);
