http, loop: log expired connections, the port, and stalls

Closing and opening the port are logged, with the connections that were accepted before. A timer that is 200 ms late is logged as a stall. Nothing is decided differently.

--- a/src/core/loop.c
+++ b/src/core/loop.c
@@ -1,5 +1,6 @@
 #include "core/loop.h"
 
+#include <inttypes.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdint.h>
@@ -11,6 +12,8 @@
 
 #include <talloc.h>
 
+#include "core/log.h"
+
 typedef struct PostedCall PostedCall;
 
 struct PostedCall
@@ -178,6 +181,19 @@
   return t;
 }
 
+/* A loop that is this late was stalled: by one of its own callbacks, or because the host gave it no processor
+ * time. */
+#define STALL_LOG_MS 200
+
+static void
+log_stall (const Loop *loop, int64_t now)
+{
+  int64_t late_ms = loop->n_timers > 0 ? now - loop->heap[0]->due_ms : 0;
+
+  if (late_ms >= STALL_LOG_MS)
+    log_event (LOG_LEVEL_NOTICE, "loop", "stalled", "late_ms=%" PRId64, late_ms);
+}
+
 /* Fires the timers that are due. A timer that a callback starts without delay fires in the next
  * iteration of the loop, so that sockets are served in between. */
 static void
@@ -195,6 +211,7 @@
     return;
   loop->armed_ms = 0;
   now = now_ms (&loop->timers);
+  log_stall (loop, now);
   while (loop->n_timers > 0 && loop->heap[0]->due_ms <= now && loop->heap[0]->seq < end_seq)
     {
       Timer *t = loop->heap[0];
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -29,20 +29,26 @@
 
 /* --- Connections ------------------------------------------------------------------------- */
 
-static void
+/* @return the number of connections that were accepted. */
+static int
 accept_all (Listener *l)
 {
+  int n = 0;
+
   while (l->fd >= 0 && !l->paused)
     {
       Address peer = { .len = sizeof peer.storage };
       int fd = accept4 (l->fd, (struct sockaddr *)&peer.storage, &peer.len,
                         SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-      if (fd >= 0)
-        l->options.on_accept (l->options.data, fd, &peer);
-      else if (errno != EINTR && errno != ECONNABORTED)
-        return;
+      if (fd < 0 && errno != EINTR && errno != ECONNABORTED)
+        break;
+      if (fd < 0)
+        continue;
+      n++;
+      l->options.on_accept (l->options.data, fd, &peer);
     }
+  return n;
 }
 
 static void
@@ -130,17 +136,21 @@
 void
 listener_refuse (Listener *l, bool on)
 {
+  int accepted;
+
   if (l->refusing == on)
     return;
   l->refusing = on;
   if (!on)
     {
-      if (l->fd < 0)
-        open_port (l);
+      if (l->fd < 0 && open_port (l))
+        log_event (LOG_LEVEL_INFO, "http", "port_opened", "port=%u", listener_port (l));
       return;
     }
-  accept_all (l);
+  accepted = accept_all (l);
   close_port (l);
+  log_event (LOG_LEVEL_INFO, "http", "port_closed", "port=%u accepted=%d", listener_port (l),
+             accepted);
 }
 
 void
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,11 +1,13 @@
 #include "http/server_impl.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -166,6 +168,49 @@
   talloc_free (c);
 }
 
+/* What a sweep has closed, for its log line. */
+typedef struct
+{
+  int idle;
+  int incomplete; /* a request did not arrive in time */
+  int unread;     /* of these, connections with received bytes that were not read */
+  int64_t max_idle_ms;
+} SweepSummary;
+
+static bool
+has_unread_bytes (const Connection *c)
+{
+  int n = 0;
+
+  return ioctl (c->fd, FIONREAD, &n) == 0 && n > 0;
+}
+
+static void
+add_to_summary (SweepSummary *summary, const Connection *c, int64_t age_ms)
+{
+  summary->unread += has_unread_bytes (c);
+  if (c->call)
+    {
+      summary->incomplete++;
+      return;
+    }
+  summary->idle++;
+  if (age_ms > summary->max_idle_ms)
+    summary->max_idle_ms = age_ms;
+}
+
+static void
+log_sweep (const HttpServer *server, const SweepSummary *summary)
+{
+  if (summary->idle + summary->incomplete == 0)
+    return;
+  log_event (LOG_LEVEL_INFO, "http", "connections_expired",
+             "idle=%d incomplete=%d unread=%d max_idle_ms=%" PRId64 " limit_ms=%" PRId64
+             " connections=%zu",
+             summary->idle, summary->incomplete, summary->unread, summary->max_idle_ms,
+             server->idle_timeout_ms, server->n_connections);
+}
+
 /* Closes idle connections and those whose request does not arrive in time. libmicrohttpd's own timeout
  * restarts with each byte, so that a slow sender would never reach it. */
 static void
@@ -174,6 +219,7 @@
   HttpServer *server = data;
   Timers *timers = loop_timers (server->loop);
   int64_t now = timers_now_ms (timers);
+  SweepSummary summary = { 0 };
   char head[192];
 
   timers_start (timers, server, SWEEP_INTERVAL_MS, close_expired_connections, server);
@@ -185,6 +231,7 @@
 
       if ((c->call && c->call->delivered) || now - since < limit)
         continue;
+      add_to_summary (&summary, c, now - since);
       if (c->call)
         {
           int len = snprintf (head, sizeof head,
@@ -198,6 +245,7 @@
         }
       shutdown (c->fd, SHUT_RDWR);
     }
+  log_sweep (server, &summary);
   run_daemon (server);
 }
 
