--- a/src/catalog/current_catalog.c
+++ b/src/catalog/current_catalog.c
@@ -52,8 +52,9 @@
       return false;
     }
   log_event (LOG_LEVEL_NOTICE, "catalog", "in_force",
-             "version=%" PRId64 " before=%" PRId64 " routes=%zu", catalog_version (catalog),
-             old_version, catalog_n_routes (catalog));
+             "version=%" PRId64 " before=%" PRId64 " routes=%zu idle_timeout_ms=%" PRId64,
+             catalog_version (catalog), old_version, catalog_n_routes (catalog),
+             catalog_limits (catalog)->idle_timeout_ms);
   catalog_unref (old);
   return true;
 }
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -180,9 +179,9 @@
 static bool
 has_unread_bytes (const Connection *c)
 {
-  int n = 0;
+  char byte;
 
-  return ioctl (c->fd, FIONREAD, &n) == 0 && n > 0;
+  return recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 static void
