--- /dev/null
+++ b/tests/unit/test_client_connections.c
@@ -0,0 +1,265 @@
+/* Kept connections of clients: which of them the HTTP server may close, and when. Over the loopback interface. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <talloc.h>
+
+#include "harness.h"
+#include "http/server.h"
+
+#define SWEEP_MS       1000 /* interval at which the server looks for expired connections */
+#define WAIT_LIMIT_MS  20000
+#define SHORT_LIMIT_MS 300
+#define LONG_LIMIT_MS  15000
+
+static const char REQUEST[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+typedef struct
+{
+  Loop *loop;
+  HttpServer *server;
+  int fd;
+  char received[4096];
+  size_t n_received;
+  bool closed;
+} ConnectionFixture;
+
+static void
+on_request (void *data, HttpCall *call, HttpFault fault)
+{
+  (void)data;
+  CU_ASSERT_EQUAL (fault, HTTP_FAULT_NONE);
+  http_call_respond (call, 200, NULL, 0, "ok", 2);
+}
+
+static void
+ignore_call (void *data, HttpCall *call)
+{
+  (void)data;
+  (void)call;
+}
+
+static const HttpServerEvents EVENTS = { on_request, ignore_call, ignore_call, ignore_call };
+
+static void
+fixture_start (ConnectionFixture *f, int64_t read_timeout_ms, int64_t idle_timeout_ms)
+{
+  HttpServerOptions options = { .listen = "127.0.0.1:0",
+                                .max_body_bytes = 1000,
+                                .max_header_bytes = 1000,
+                                .read_timeout_ms = read_timeout_ms,
+                                .idle_timeout_ms = idle_timeout_ms,
+                                .max_connections = 8,
+                                .events = &EVENTS };
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  *f = (ConnectionFixture){ .loop = loop_new (NULL) };
+  f->server = http_server_new (f->loop, f->loop, &options);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f->server);
+  address.sin_port = htons (http_server_port (f->server));
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  f->fd = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_EQUAL_FATAL (connect (f->fd, (struct sockaddr *)&address, sizeof address), 0);
+}
+
+static void
+fixture_stop (ConnectionFixture *f)
+{
+  close (f->fd);
+  TALLOC_FREE (f->server);
+  talloc_free (f->loop);
+}
+
+static void
+send_bytes (ConnectionFixture *f, const char *bytes, size_t len)
+{
+  CU_ASSERT_EQUAL (send (f->fd, bytes, len, MSG_NOSIGNAL), (ssize_t)len);
+}
+
+static void
+receive (ConnectionFixture *f)
+{
+  ssize_t n = recv (f->fd, f->received + f->n_received, sizeof f->received - 1 - f->n_received,
+                    MSG_DONTWAIT);
+
+  if (n > 0)
+    f->n_received += (size_t)n;
+  else if (n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
+    f->closed = true;
+  f->received[f->n_received] = '\0';
+}
+
+/* Wakes the loop, so that it returns to the test. */
+static void
+on_wake (void *data)
+{
+  *(bool *)data = true;
+}
+
+static void
+run_loop_for (ConnectionFixture *f, int64_t ms)
+{
+  bool over = false;
+
+  timers_start (loop_timers (f->loop), f->loop, ms, on_wake, &over);
+  while (!over)
+    tevent_loop_once (loop_tevent (f->loop));
+  receive (f);
+}
+
+static void
+wait_for_bytes_or_close (ConnectionFixture *f)
+{
+  size_t before = f->n_received;
+
+  for (int64_t ms = 0; ms < WAIT_LIMIT_MS && f->n_received == before && !f->closed; ms += 10)
+    run_loop_for (f, 10);
+}
+
+static void
+stall (int64_t ms)
+{
+  struct timespec t = { ms / 1000, ms % 1000 * 1000000 };
+
+  nanosleep (&t, NULL);
+}
+
+static void
+exchange (ConnectionFixture *f)
+{
+  f->n_received = 0;
+  send_bytes (f, REQUEST, strlen (REQUEST));
+  wait_for_bytes_or_close (f);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f->received, "HTTP/1.1 200"));
+  CU_ASSERT_FALSE (f->closed);
+}
+
+/* The sweep is due before the request comes, and both before the loop runs again. */
+static void
+request_that_came_during_a_stall_is_answered_on_an_expired_connection (void)
+{
+  ConnectionFixture f;
+
+  fixture_start (&f, LONG_LIMIT_MS, SHORT_LIMIT_MS);
+  exchange (&f);
+  stall (SWEEP_MS + SHORT_LIMIT_MS);
+  exchange (&f);
+  fixture_stop (&f);
+}
+
+static void
+body_that_came_during_a_stall_is_not_answered_with_408 (void)
+{
+  static const char HEAD[] = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n";
+  ConnectionFixture f;
+
+  fixture_start (&f, SHORT_LIMIT_MS, LONG_LIMIT_MS);
+  send_bytes (&f, HEAD, strlen (HEAD));
+  run_loop_for (&f, SHORT_LIMIT_MS / 3);
+  stall (SWEEP_MS + SHORT_LIMIT_MS);
+  send_bytes (&f, "abc", 3);
+  wait_for_bytes_or_close (&f);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.received, "HTTP/1.1 200"));
+  fixture_stop (&f);
+}
+
+static void
+silent_connection_is_closed_after_the_limit (void)
+{
+  ConnectionFixture f;
+
+  fixture_start (&f, LONG_LIMIT_MS, SHORT_LIMIT_MS);
+  exchange (&f);
+  f.n_received = 0;
+  wait_for_bytes_or_close (&f);
+  CU_ASSERT_TRUE (f.closed);
+  CU_ASSERT_EQUAL (f.n_received, 0);
+  fixture_stop (&f);
+}
+
+/* The idle limit is over, that of a request that has begun is not. */
+static void
+request_whose_head_is_half_in_does_not_count_as_idle (void)
+{
+  ConnectionFixture f;
+
+  fixture_start (&f, LONG_LIMIT_MS, SHORT_LIMIT_MS);
+  exchange (&f);
+  f.n_received = 0;
+  send_bytes (&f, REQUEST, strlen (REQUEST) - 4);
+  run_loop_for (&f, 2 * SWEEP_MS);
+  CU_ASSERT_FALSE (f.closed);
+  send_bytes (&f, REQUEST + strlen (REQUEST) - 4, 4);
+  wait_for_bytes_or_close (&f);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.received, "HTTP/1.1 200"));
+  fixture_stop (&f);
+}
+
+static void
+request_whose_head_stays_half_in_is_answered_with_408 (void)
+{
+  ConnectionFixture f;
+
+  fixture_start (&f, SHORT_LIMIT_MS, LONG_LIMIT_MS);
+  send_bytes (&f, REQUEST, strlen (REQUEST) - 4);
+  wait_for_bytes_or_close (&f);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.received, "HTTP/1.1 408"));
+  fixture_stop (&f);
+}
+
+/* A client reuses its connection by the limit that it knew when it got its last response. */
+static void
+shorter_limit_applies_from_the_next_response_on (void)
+{
+  ConnectionFixture f;
+
+  fixture_start (&f, LONG_LIMIT_MS, LONG_LIMIT_MS);
+  exchange (&f);
+  http_server_set_timeouts (f.server, LONG_LIMIT_MS, SHORT_LIMIT_MS);
+  run_loop_for (&f, 2 * SWEEP_MS);
+  CU_ASSERT_FALSE (f.closed);
+  exchange (&f);
+  f.n_received = 0;
+  wait_for_bytes_or_close (&f);
+  CU_ASSERT_TRUE (f.closed);
+  CU_ASSERT_EQUAL (f.n_received, 0);
+  fixture_stop (&f);
+}
+
+static void
+longer_limit_applies_at_once (void)
+{
+  ConnectionFixture f;
+
+  fixture_start (&f, LONG_LIMIT_MS, SHORT_LIMIT_MS);
+  exchange (&f);
+  http_server_set_timeouts (f.server, LONG_LIMIT_MS, LONG_LIMIT_MS);
+  run_loop_for (&f, 2 * SWEEP_MS);
+  CU_ASSERT_FALSE (f.closed);
+  fixture_stop (&f);
+}
+
+static const TestCase CASES[] = {
+  { "request_that_came_during_a_stall_is_answered_on_an_expired_connection",
+    request_that_came_during_a_stall_is_answered_on_an_expired_connection },
+  { "body_that_came_during_a_stall_is_not_answered_with_408",
+    body_that_came_during_a_stall_is_not_answered_with_408 },
+  { "silent_connection_is_closed_after_the_limit", silent_connection_is_closed_after_the_limit },
+  { "request_whose_head_is_half_in_does_not_count_as_idle",
+    request_whose_head_is_half_in_does_not_count_as_idle },
+  { "request_whose_head_stays_half_in_is_answered_with_408",
+    request_whose_head_stays_half_in_is_answered_with_408 },
+  { "shorter_limit_applies_from_the_next_response_on",
+    shorter_limit_applies_from_the_next_response_on },
+  { "longer_limit_applies_at_once", longer_limit_applies_at_once },
+};
+
+int
+main (void)
+{
+  return harness_run ("client_connections", CASES, sizeof CASES / sizeof CASES[0]);
+}
