http: a request whose head is half in has begun

A request whose request line had come, but not yet the end of its headers, counted as an idle connection: the idle limit closed it without an answer though its own time was not over, or it stayed open for the idle limit instead of the header timeout, and no 408 was sent. The connection got its call only when the headers were complete.

The call is attached to its connection at the request line. From then on the time limit of a request applies, which ends with 408. A request line that is itself incomplete still counts as idle: libmicrohttpd reports nothing of it.

--- a/src/http/server_request.c
+++ b/src/http/server_request.c
@@ -18,8 +18,10 @@
   HttpServer *server = cls;
   HttpCall *call = talloc_zero (server, HttpCall);
 
-  (void)mhd;
   call->server = server;
+  call->connection
+      = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+  call->connection->call = call;
   call->target = talloc_strdup (call, uri);
   call->started_us = loop_monotonic_us ();
   call->started_ms = timers_now_ms (loop_timers (server->loop));
@@ -103,9 +105,6 @@
 start_call (HttpCall *call, struct MHD_Connection *mhd, const char *method)
 {
   call->mhd = mhd;
-  call->connection
-      = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
-  call->connection->call = call;
   call->method = talloc_strdup (call, method);
   if (check_request_head (call))
     return MHD_YES;
