http: a shorter idle limit applies from the next response on

A configuration that shortens idle_timeout_ms closed connections at once whose clients had got their last response under the longer limit and may send on them until they know the new one.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -128,6 +128,13 @@
   server_schedule_run (server);
 }
 
+void
+connection_set_idle (Connection *c)
+{
+  c->idle_since_ms = timers_now_ms (loop_timers (c->server->loop));
+  c->idle_limit_ms = c->server->idle_timeout_ms;
+}
+
 static void
 add_connection (HttpServer *server, struct MHD_Connection *mhd, void **context)
 {
@@ -138,7 +145,7 @@
 
   c->server = server;
   c->fd = info->connect_fd;
-  c->idle_since_ms = timers_now_ms (loop_timers (server->loop));
+  connection_set_idle (c);
   list_append (&server->connections, &c->node);
   server->n_connections++;
   pause_listener_if_full (server);
@@ -210,14 +217,21 @@
              server->idle_timeout_ms, server->n_connections);
 }
 
+/* The client may know the limit that was in force when it got its last response, or a newer one. */
+static int64_t
+idle_limit_ms (const Connection *c)
+{
+  int64_t newest_ms = c->server->idle_timeout_ms;
+
+  return c->idle_limit_ms > newest_ms ? c->idle_limit_ms : newest_ms;
+}
+
 static bool
 is_expired (const Connection *c, int64_t age_ms)
 {
-  const HttpServer *server = c->server;
-
   if (!c->call)
-    return age_ms >= server->idle_timeout_ms && !has_unread_bytes (c);
-  return !c->call->delivered && age_ms >= server->read_timeout_ms;
+    return age_ms >= idle_limit_ms (c) && !has_unread_bytes (c);
+  return !c->call->delivered && age_ms >= c->server->read_timeout_ms;
 }
 
 /* Closes idle connections and those whose request does not arrive in time. libmicrohttpd's own timeout
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -60,7 +60,8 @@
 /** @return the number of calls whose request is being received or whose response is not complete. */
 size_t http_server_open_calls (const HttpServer *server);
 
-/** Changes the timeouts of HttpServerOptions. */
+/** Changes the timeouts of HttpServerOptions. A shorter idle timeout applies to a connection from its next
+ * response on, a longer one at once. */
 void http_server_set_timeouts (HttpServer *server, int64_t read_timeout_ms,
                                int64_t idle_timeout_ms);
 
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -45,6 +45,7 @@
   HttpCall *call; /* NULL between requests */
   int fd;
   int64_t idle_since_ms; /* start of the connection, or end of its last request */
+  int64_t idle_limit_ms; /* that was in force then */
 };
 
 struct HttpCall
@@ -78,6 +79,9 @@
   size_t output_size;
 };
 
+/** The connection waits for its next request from now on. */
+void connection_set_idle (Connection *connection);
+
 /** Schedules MHD_run() on the loop, after the events that are ready now. */
 void server_schedule_run (HttpServer *server);
 
--- a/src/http/server_request.c
+++ b/src/http/server_request.c
@@ -173,7 +173,7 @@
   if (call->connection)
     {
       call->connection->call = NULL;
-      call->connection->idle_since_ms = timers_now_ms (loop_timers (call->server->loop));
+      connection_set_idle (call->connection);
     }
   if (call->delivered)
     call->server->events->closed (call->data, call);
