http, entry: the store's bytes are not clients' traffic

The configuration itself, over 1 MB on a link of 10 Mbit/s, is above the gate's 70 %: each host closed its port and left the rotation, though refusing clients does not lower that load and all hosts have it at the same time.

The test failed before.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -57,6 +57,8 @@
   int64_t max_idle_ms;
   /** Size of the receive buffer that each exchange keeps, at least 1024; 0 for libcurl's 16 KB. */
   size_t receive_buffer_bytes;
+  /** Not on behalf of a client: its bytes are not counted in traffic.h. */
+  bool is_control;
 } HttpRequest;
 
 /** @return a talloc object under @p ctx, or NULL. Free its exchanges before it. */
--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -24,6 +24,7 @@
   void *data;
   char *body;
   size_t body_len;
+  bool is_control;
   bool in_multi;
   int opened_fd;         /* of the connection that it opened */
   bool stale_connection; /* the connection that libcurl chose must not be used */
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -109,12 +109,19 @@
     }
 }
 
+static void
+count_received (const HttpExchange *x, size_t bytes)
+{
+  if (!x->is_control)
+    traffic_received (bytes);
+}
+
 static size_t
 on_body (char *bytes, size_t size, size_t n, void *data)
 {
   HttpExchange *x = data;
 
-  traffic_received (size * n + PACKET_OVERHEAD_BYTES);
+  count_received (x, size * n + PACKET_OVERHEAD_BYTES);
   x->response_started = true;
   report_headers (x);
   if (!x->aborted && x->events->body (x->data, x, bytes, size * n))
@@ -128,7 +135,7 @@
   HttpExchange *x = data;
 
   (void)bytes;
-  traffic_received (size * n);
+  count_received (x, size * n);
   x->response_started = true;
   x->head_bytes += size * n;
   x->head_lines++;
@@ -253,6 +260,7 @@
   if (!x)
     return NULL;
   x->client = client;
+  x->is_control = request->is_control;
   x->events = events;
   x->data = data;
   talloc_set_destructor (x, exchange_destroy);
@@ -272,7 +280,8 @@
       x->headers = curl_slist_append (x->headers, request->headers[i]);
       bytes += strlen (request->headers[i]) + 2;
     }
-  traffic_sent (bytes);
+  if (!x->is_control)
+    traffic_sent (bytes);
   /* libcurl would otherwise wait for "100 Continue" before it sends a body above 1 KB. */
   x->headers = curl_slist_append (x->headers, "Expect:");
   set_options (x, request);
--- a/src/http/traffic.h
+++ b/src/http/traffic.h
@@ -1,6 +1,6 @@
 /** @file
- * Counts the bytes of all HTTP requests and responses that this process sends and receives, as a measure
- * of the load of the host's network link. Any thread. */
+ * Counts the bytes of clients' requests and of the responses to them, at both sides, as a measure of the load on
+ * the host's network link that clients cause. Any thread. */
 #pragma once
 
 #include <stddef.h>
--- a/tests/unit/test_admission_gate.c
+++ b/tests/unit/test_admission_gate.c
@@ -9,9 +9,11 @@
 
 #include <talloc.h>
 
+#include "canned_server.h"
 #include "entry/admission_gate.h"
 #include "harness.h"
 #include "http/listener.h"
+#include "platform/platform_store.h"
 
 #define LINK_BYTES_S 1250000
 #define TICK_MS      20
@@ -91,6 +93,44 @@
     }
 }
 
+static void
+on_store_reply (void *data, const StoreReply *reply)
+{
+  (void)reply;
+  *(bool *)data = true;
+}
+
+/* Guards against connections that are refused because a large configuration arrives: refusing them does not lower
+ * that load, and all hosts have it at the same time. */
+static void
+large_reply_of_the_store_does_not_close_the_gate (void)
+{
+  Loop *loop = loop_new (NULL);
+  PlatformStoreOptions options
+      = { .client = http_client_new (loop, loop), .call_timeout_ms = 20000 };
+  StoreRange range = { .table = "op", .partition = "", .limit = 1 };
+  char *body = talloc_array (loop, char, LINK_BYTES_S + 1);
+  Traffic before = traffic_total ();
+  bool done = false;
+  CannedServer server;
+  AdmissionGate g;
+
+  memset (body, ' ', LINK_BYTES_S);
+  body[LINK_BYTES_S] = '\0';
+  options.address = canned_server_start (
+      loop, &server,
+      talloc_asprintf (loop, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", LINK_BYTES_S,
+                       body));
+  store_range (platform_store_new (loop, &options), loop, &range, on_store_reply, &done);
+  while (!done)
+    tevent_loop_once (loop_tevent (loop));
+  admission_gate_init (&g, LINK_BYTES_S, 0);
+  g.last_total = before;
+  CU_ASSERT_TRUE (admission_gate_update (&g, traffic_total (), TICK_MS * 10));
+  canned_server_stop (&server);
+  talloc_free (loop);
+}
+
 /* --- Listener ---------------------------------------------------------------------------- */
 
 static void
@@ -151,6 +191,8 @@
       = { { "traffic_beyond_link_capacity_is_refused", traffic_beyond_link_capacity_is_refused },
           { "traffic_below_link_capacity_is_accepted", traffic_below_link_capacity_is_accepted },
           { "gate_reopens_regardless_of_load", gate_reopens_regardless_of_load },
+          { "large_reply_of_the_store_does_not_close_the_gate",
+            large_reply_of_the_store_does_not_close_the_gate },
           { "listener_refuses_and_accepts_again", listener_refuses_and_accepts_again } };
 
   return harness_run ("admission_gate", CASES, sizeof CASES / sizeof CASES[0]);
