loop: read what arrived during a stall before late timers fire

Callers' connections were closed with whole requests unread in them, after a configuration had been parsed for half a second on the loop's thread.

Cause: a timer that expires while a callback runs is handed out before the sockets that become readable after it, so that each guard of the kind "silent for too long" judged by the clock before the loop had read what was there.

Timers that are more than 10 ms late now leave timer_fd readable once. epoll_wait() takes turns among the descriptors that are ready (its manual page), so that each of the others is served once, the wake-up for posted calls among them. Then the timers fire, in their order: they wait for one pass and no longer, however busy the sockets are. What becomes readable during that pass is not waited for.

Not chosen: no threshold (one more call of epoll_wait() for each timer, and a second pass for each under load); a look at the sockets by each guard (libcurl, peers and the store would each need their own); nested loops.

--- a/src/core/loop.c
+++ b/src/core/loop.c
@@ -39,7 +39,9 @@
   struct tevent_context *tevent;
   int timer_fd;
   int64_t armed_ms; /* when timer_fd becomes readable; 0 if it is not set */
-  Timer **heap;     /* binary heap ordered by fires_before() */
+  bool
+      serves_others; /* timers are late and wait until all other ready descriptors have been served */
+  Timer **heap;      /* binary heap ordered by fires_before() */
   size_t n_timers;
   size_t heap_capacity;
   uint64_t next_seq;
@@ -182,16 +184,31 @@
 }
 
 /* A loop that is this late was stalled: by one of its own callbacks, or because the host gave it no processor
- * time. */
+ * time or was suspended. */
 #define STALL_LOG_MS 200
 
-static void
-log_stall (const Loop *loop, int64_t now)
+/* Timers that are later than this wait until what arrived in the meantime has been read. */
+#define LATE_MS 10
+
+/* Many timers judge how long something has been silent, and must not do so before what has already arrived is read. A
+ * descriptor that is ready earlier than timer_fd is handed out before it. Those that became ready after it, while the
+ * loop was stalled, are handed out if timer_fd is left readable once: epoll_wait() takes turns among the descriptors
+ * that are ready. So late timers wait for each of these to be served once, and no longer.
+ * @return true if the timers have to wait. */
+static bool
+must_serve_others (Loop *loop, int64_t now)
 {
   int64_t late_ms = loop->n_timers > 0 ? now - loop->heap[0]->due_ms : 0;
 
+  if (loop->serves_others || late_ms < LATE_MS)
+    {
+      loop->serves_others = false;
+      return false;
+    }
   if (late_ms >= STALL_LOG_MS)
     log_event (LOG_LEVEL_NOTICE, "loop", "stalled", "late_ms=%" PRId64, late_ms);
+  loop->serves_others = true;
+  return true;
 }
 
 /* Fires the timers that are due. A timer that a callback starts without delay fires in the next
@@ -207,11 +224,10 @@
   (void)ev;
   (void)fde;
   (void)flags;
-  if (read (loop->timer_fd, &n, sizeof n) < 0)
+  now = now_ms (&loop->timers);
+  if (must_serve_others (loop, now) || read (loop->timer_fd, &n, sizeof n) < 0)
     return;
   loop->armed_ms = 0;
-  now = now_ms (&loop->timers);
-  log_stall (loop, now);
   while (loop->n_timers > 0 && loop->heap[0]->due_ms <= now && loop->heap[0]->seq < end_seq)
     {
       Timer *t = loop->heap[0];
--- a/src/core/timers.h
+++ b/src/core/timers.h
@@ -38,7 +38,8 @@
 }
 
 /** Starts a one-shot timer. @return a talloc object under @p ctx; talloc_free() stops it. When the
- * timer fires it is freed before @p fn is called, so @p fn must clear stored pointers to it. */
+ * timer fires it is freed before @p fn is called, so @p fn must clear stored pointers to it. If it fires late, what had
+ * arrived by then has been read: each descriptor that was ready has been served once (loop.c). */
 static inline Timer *
 timers_start (Timers *timers, const void *ctx, int64_t delay_ms, TimerFn fn, void *data)
 {
