platform: parse a large configuration in steps

Ruled out: a thread of its own (needs a lock and an end, and shares the one core of these hosts in turns that the loop does not choose).

The members of the row are found first (a search for brackets and quotes, 128 KB a step); then routes, services and accounts are parsed one by one by jansson, 16 KB of text a step, and each step is a timer of the loop without delay, so that sockets and other timers come between. Rows that come meanwhile wait, the newest replaces others that wait, and the one that is parsed comes into force first. A row of 16 KB or less is in force in the same call as before.

--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -176,7 +176,23 @@
                                      "{\"version\":\"7\"}",
                                      "{\"version\":7,\"routes\":[{\"host\":\"h\"}]}",
                                      NO_SERVICE,
-                                     "{\"version\":7,\"tenants\":[{\"prepaid\":5}]}" };
+                                     "{\"version\":7,\"tenants\":[{\"prepaid\":5}]}",
+                                     "{\"version\":7,}",
+                                     "{\"version\":7 \"limits\":{}}",
+                                     "{\"version\":}",
+                                     "{\"version\" 7}",
+                                     "{\"version\":7} x",
+                                     "{\"version\":7]",
+                                     "{\"version\":7,\"routes\":}",
+                                     "{\"version\":7,\"routes\":x}",
+                                     "{\"version\":7,\"routes\":[}",
+                                     "{\"version\":7,\"services\":[{\"name\":\"s\"},]}",
+                                     "{\"version\":7,\"services\":[{\"name\":\"s\"} {}]}",
+                                     "{\"version\":7,\"services\":[,]}",
+                                     "{\"version\":7,\"services\":[{\"name\":\"s\"]]}",
+                                     "{\"version\":7,\"services\":[{\"name\":\"s\"}}}",
+                                     "{\"version\":7,\"limits\":{\"a\":}}",
+                                     "{\"version\":7,\"limits\":{}}}" };
 
   for (size_t i = 0; i < sizeof BAD / sizeof BAD[0]; i++)
     {
@@ -188,6 +204,35 @@
     }
 }
 
+/* Guards against a parser that looks for the parts of a row only where it expects them, or takes brackets and
+ * quotes within strings for those of the row. */
+static void
+parts_of_a_row_are_found_in_any_order_and_form (void)
+{
+  static const char ODD[]
+      = " {\n\"limits\" : { \"idle_timeout_ms\" :\t900 } ,\"x\\\"]}\":[\"}]\\\\\",{\"routes\":[]}],"
+        "\"routes\":[ "
+        "{\"name\":\"[{\\\"\",\"host\":\"h\\u0031\",\"path_prefix\":\"/]}\",\"service\":\"s,\"} ],"
+        "\"empty\":[ ],\"tenants\":[ ], \"number\":-1.5e3 ,\"services\":[{\"name\":\"s,\"} ,{} ]"
+        ",\"null\":null\t, \"version\" : 7 }\r\n";
+  Err err;
+  const Catalog *c = parse_row (ODD, &err);
+  const CatalogRoute *route;
+
+  CU_ASSERT_PTR_NOT_NULL (c);
+  if (!c)
+    return;
+  CU_ASSERT_EQUAL (catalog_version (c), 7);
+  CU_ASSERT_EQUAL (catalog_limits (c)->idle_timeout_ms, 900);
+  route = catalog_match_route (c, "GET", "h1", "/]}x");
+  CU_ASSERT_PTR_NOT_NULL (route);
+  if (!route)
+    return;
+  CU_ASSERT_STRING_EQUAL (route->name, "[{\"");
+  CU_ASSERT_STRING_EQUAL (route->targets[0].service->name, "s,");
+  catalog_unref (c);
+}
+
 /* Guards against reading past the end of a row, which is not zero-terminated. */
 static void
 truncated_row_is_rejected (void)
@@ -213,6 +258,8 @@
     { "targets_share_requests_by_weight", targets_share_requests_by_weight },
     { "accounts_are_found_by_their_keys", accounts_are_found_by_their_keys },
     { "invalid_row_is_rejected", invalid_row_is_rejected },
+    { "parts_of_a_row_are_found_in_any_order_and_form",
+      parts_of_a_row_are_found_in_any_order_and_form },
     { "truncated_row_is_rejected", truncated_row_is_rejected },
   };
 
--- /dev/null
+++ b/tests/unit/test_config_source.c
@@ -0,0 +1,288 @@
+/* Taking over configurations of the users' platform: large ones in steps, newer ones that come meanwhile. */
+#include <stdio.h>
+#include <string.h>
+
+#include <talloc.h>
+
+#include "fakes/virtual_timers.h"
+#include "harness.h"
+#include "platform/platform_catalog.h"
+#include "platform/platform_config_source.h"
+#include "platform/platform_servers.h"
+
+#define N_ROUTES 6000
+
+/* The shortest latency objective of the users' sites is 120 ms. A step may take a tenth of it on a host with 0.12
+ * cores, where a route costs some 0.09 ms (docs/CAPACITY.md). */
+#define MAX_ROUTES_PER_STEP 128
+
+/* A store with one open call of each watch, to which the test replies. */
+typedef struct
+{
+  StoreCall *call;
+  StoreFn fn;
+  void *data;
+} OpenCall;
+
+typedef struct
+{
+  Store store;
+  VirtualTimers *vt;
+  Rng rng;
+  OpenCall config_call;
+  OpenCall servers_call;
+  ConfigSource *source;
+  int64_t store_version;
+  char in_force[128]; /* versions in the order in which they were reported */
+  size_t n_routes;    /* of the last one */
+} Fixture;
+
+struct StoreCall
+{
+  int unused;
+};
+
+static StoreCall *
+start_call (Fixture *fx, const void *ctx, const char *table, StoreFn fn, void *data)
+{
+  OpenCall *c = strcmp (table, PLATFORM_CONFIG_TABLE) == 0 ? &fx->config_call : &fx->servers_call;
+
+  *c = (OpenCall){ talloc_zero (ctx, StoreCall), fn, data };
+  return c->call;
+}
+
+static StoreCall *
+range (Store *store, const void *ctx, const StoreRange *r, StoreFn fn, void *data)
+{
+  return start_call ((Fixture *)store, ctx, r->table, fn, data);
+}
+
+static StoreCall *
+feed (Store *store, const void *ctx, const StoreFeed *f, StoreFn fn, void *data)
+{
+  return start_call ((Fixture *)store, ctx, f->table, fn, data);
+}
+
+static const StoreOps OPS = { NULL, range, feed };
+
+static void
+on_catalog (void *data, const Catalog *catalog)
+{
+  Fixture *fx = data;
+  size_t len = strlen (fx->in_force);
+
+  snprintf (fx->in_force + len, sizeof fx->in_force - len, "%d ", (int)catalog_version (catalog));
+  fx->n_routes = catalog_n_routes (catalog);
+  catalog_unref (catalog);
+}
+
+static const ConfigSourceEvents EVENTS = { .catalog = on_catalog };
+
+static Fixture *
+fixture_new (void)
+{
+  Fixture *fx = talloc_zero (NULL, Fixture);
+  ConfigSourceOptions options
+      = { .store = &fx->store, .rng = &fx->rng, .events = &EVENTS, .data = fx };
+
+  fx->store.ops = &OPS;
+  fx->vt = virtual_timers_new (fx, 1000);
+  rng_seed (&fx->rng, 1);
+  options.timers = virtual_timers_service (fx->vt);
+  fx->source = platform_config_source_new (fx, &options);
+  return fx;
+}
+
+/* @return the text of a configuration whose last member is @p end. */
+static char *
+config_text (const void *ctx, int version, int n_routes, const char *end)
+{
+  char *text = talloc_asprintf (ctx, "{\"version\":%d,\"services\":[{\"name\":\"s\"}],\"routes\":[",
+                                version);
+
+  for (int i = 0; i < n_routes; i++)
+    text = talloc_asprintf_append_buffer (
+        text,
+        "%s{\"name\":\"route-%d\",\"host\":\"host%d.example\",\"path_prefix\":\"/prefix%d/\","
+        "\"kind\":\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":400,\"priority\":0,"
+        "\"service\":\"s\",\"max_attempts\":2,\"allow_anonymous\":false,\"sticky\":true}",
+        i ? "," : "", i, i % 3, i);
+  return talloc_asprintf_append_buffer (text, "]%s}", end);
+}
+
+/* The open call of the configuration's watch ends with this row. */
+static void
+send_row (Fixture *fx, const char *text)
+{
+  OpenCall c = fx->config_call;
+  StoreRow row = { .key = { PLATFORM_CONFIG_TABLE, "", PLATFORM_CONFIG_ROW },
+                   .version = ++fx->store_version,
+                   .value = text,
+                   .len = strlen (text) };
+  StoreReply reply
+      = { .result = STORE_DONE, .rows = &row, .n_rows = 1, .version = fx->store_version };
+
+  talloc_steal (fx, c.call);
+  c.fn (c.data, &reply);
+  talloc_free (c.call);
+}
+
+static void
+send_config (Fixture *fx, int version, int n_routes)
+{
+  char *text = config_text (fx, version, n_routes, "");
+
+  send_row (fx, text);
+  talloc_free (text);
+}
+
+/* @return the number of steps of the loop until nothing is left to do. */
+static int
+run_until_idle (Fixture *fx)
+{
+  int n = 0;
+
+  while (virtual_timers_step (fx->vt))
+    n++;
+  return n;
+}
+
+/* Guards against a loop that stands still, so that all clients of a small host wait, while a configuration of
+ * thousands of routes is taken over. */
+static void
+large_configuration_is_taken_over_in_steps (void)
+{
+  Fixture *fx = fixture_new ();
+  int steps;
+
+  send_config (fx, 5, N_ROUTES);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "");
+  steps = run_until_idle (fx);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "5 ");
+  CU_ASSERT_EQUAL (fx->n_routes, N_ROUTES);
+  CU_ASSERT (steps >= N_ROUTES / MAX_ROUTES_PER_STEP);
+  talloc_free (fx);
+}
+
+/* Guards against one step that does the work of many, whatever the number of steps. */
+static void
+no_step_adds_many_routes (void)
+{
+  char *text = config_text (NULL, 5, N_ROUTES, "");
+  PlatformCatalogParser *p = platform_catalog_parser_new (text, text, strlen (text));
+  size_t before = 0;
+  size_t most = 0;
+  Err err = ERR_INIT;
+  const Catalog *catalog;
+  bool more;
+
+  do
+    {
+      size_t n;
+
+      more = platform_catalog_parser_step (p);
+      n = platform_catalog_parser_n_entries (p);
+      most = n - before > most ? n - before : most;
+      before = n;
+  } while (more);
+  catalog = platform_catalog_parser_finish (p, &err);
+  CU_ASSERT_PTR_NOT_NULL (catalog);
+  if (!catalog)
+    return;
+  CU_ASSERT_EQUAL (catalog_n_routes (catalog), N_ROUTES);
+  CU_ASSERT (most > 0 && most <= MAX_ROUTES_PER_STEP);
+  catalog_unref (catalog);
+  talloc_free (text);
+}
+
+/* Guards against a withdrawn key that stays in force for longer than it has to: a small configuration needs no
+ * further step. */
+static void
+small_configuration_is_in_force_at_once (void)
+{
+  Fixture *fx = fixture_new ();
+
+  send_config (fx, 5, 40);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "5 ");
+  talloc_free (fx);
+}
+
+/* Guards against an older configuration that comes into force after a newer one, and against configurations that never
+ * come into force because each is followed by the next one too soon. */
+static void
+newer_configuration_follows_the_one_that_is_parsed (void)
+{
+  Fixture *fx = fixture_new ();
+
+  send_config (fx, 5, N_ROUTES);
+  virtual_timers_step (fx->vt);
+  send_config (fx, 6, N_ROUTES + 1);
+  virtual_timers_step (fx->vt);
+  send_config (fx, 8, 3);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "");
+  run_until_idle (fx);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "5 8 ");
+  CU_ASSERT_EQUAL (fx->n_routes, 3);
+  send_config (fx, 9, 4);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "5 8 9 ");
+  talloc_free (fx);
+}
+
+/* Guards against a part of an unreadable configuration that comes into force, and against readable ones that don't
+ * because an unreadable one came before them. */
+static void
+unreadable_configuration_changes_nothing (void)
+{
+  Fixture *fx = fixture_new ();
+  char *text = config_text (fx, 6, N_ROUTES, ",\"tenants\":[{\"prepaid\":1}]");
+
+  send_config (fx, 5, N_ROUTES);
+  send_row (fx, text);
+  run_until_idle (fx);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "5 ");
+  send_row (fx, text);
+  send_config (fx, 7, N_ROUTES);
+  run_until_idle (fx);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "5 7 ");
+  text[strlen (text) - 1] = '\0';
+  send_row (fx, text);
+  run_until_idle (fx);
+  send_row (fx, "");
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "5 7 ");
+  send_config (fx, 8, 1);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "5 7 8 ");
+  talloc_free (fx);
+}
+
+/* Guards against a host that ends while it parses, and then parses on in memory that it has freed. */
+static void
+source_may_be_freed_while_it_parses (void)
+{
+  Fixture *fx = fixture_new ();
+
+  send_config (fx, 5, N_ROUTES);
+  send_config (fx, 6, N_ROUTES);
+  for (int i = 0; i < 40; i++)
+    virtual_timers_step (fx->vt);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "");
+  talloc_free (fx->source);
+  run_until_idle (fx);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "");
+  talloc_free (fx);
+}
+
+int
+main (void)
+{
+  static const TestCase CASES[] = {
+    { "large_configuration_is_taken_over_in_steps", large_configuration_is_taken_over_in_steps },
+    { "no_step_adds_many_routes", no_step_adds_many_routes },
+    { "small_configuration_is_in_force_at_once", small_configuration_is_in_force_at_once },
+    { "newer_configuration_follows_the_one_that_is_parsed",
+      newer_configuration_follows_the_one_that_is_parsed },
+    { "unreadable_configuration_changes_nothing", unreadable_configuration_changes_nothing },
+    { "source_may_be_freed_while_it_parses", source_may_be_freed_while_it_parses },
+  };
+
+  return harness_run ("config_source", CASES, sizeof CASES / sizeof CASES[0]);
+}
