--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -71,6 +71,73 @@
   talloc_free (current);
 }
 
+static void
+add_route (CatalogBuilder *b, const char *name, const char *method, const char *prefix)
+{
+  CatalogRoute route = { .name = name, .host = "h", .path_prefix = prefix, .method = method };
+
+  catalog_add_route (b, &route);
+}
+
+static const char *
+matched_name (const Catalog *c, const char *method, const char *path)
+{
+  const CatalogRoute *route = catalog_match_route (c, method, "h", path);
+
+  return route ? route->name : "none";
+}
+
+/* Guards against a request that gets another route's timeout or service: the longest prefix counts among the routes
+ * for its method, and the first one of routes with the same prefix. */
+static void
+method_and_order_decide_between_prefixes (void)
+{
+  CatalogBuilder *b = catalog_builder_new (NULL, 1);
+  const Catalog *c;
+
+  add_route (b, "get", "GET", "/a/");
+  add_route (b, "post", "POST", "/a/");
+  add_route (b, "any", NULL, "/a/");
+  add_route (b, "second", NULL, "/a/");
+  add_route (b, "put", "PUT", "/a/b/");
+  add_route (b, "root", NULL, "");
+  c = catalog_finish (b);
+  CU_ASSERT_STRING_EQUAL (matched_name (c, "GET", "/a/b/c"), "get");
+  CU_ASSERT_STRING_EQUAL (matched_name (c, "POST", "/a/"), "post");
+  CU_ASSERT_STRING_EQUAL (matched_name (c, "DELETE", "/a/b/"), "any");
+  CU_ASSERT_STRING_EQUAL (matched_name (c, "PUT", "/a/b/c"), "put");
+  CU_ASSERT_STRING_EQUAL (matched_name (c, "PUT", "/a/b"), "any");
+  CU_ASSERT_STRING_EQUAL (matched_name (c, "GET", "/a"), "root");
+  CU_ASSERT_STRING_EQUAL (matched_name (c, "GET", ""), "root");
+  catalog_unref (c);
+}
+
+/* Guards against a loop that stands still while it frees thousands of routes of a configuration that was replaced. */
+static void
+routes_are_freed_in_few_blocks (void)
+{
+  enum
+  {
+    ROUTES = 6000,
+    MAX_BLOCKS = ROUTES / 50
+  };
+  CatalogBuilder *b = catalog_builder_new (NULL, 1);
+  const Catalog *c;
+  char prefix[32];
+
+  for (int i = 0; i < ROUTES; i++)
+    {
+      snprintf (prefix, sizeof prefix, "/prefix%d/", i);
+      add_route (b, "some-route", NULL, prefix);
+    }
+  c = catalog_finish (b);
+  CU_ASSERT (talloc_total_blocks (c) <= MAX_BLOCKS);
+  CU_ASSERT_STRING_EQUAL (catalog_match_route (c, "GET", "h", "/prefix5999/x")->path_prefix,
+                          "/prefix5999/");
+  CU_ASSERT_PTR_NULL (catalog_match_route (c, "GET", "h", "/prefix6000/x"));
+  catalog_unref (c);
+}
+
 /* --- The platform's row ------------------------------------------------------------------ */
 
 static const Catalog *
@@ -176,7 +243,23 @@
                                      "{\"version\":\"7\"}",
                                      "{\"version\":7,\"routes\":[{\"host\":\"h\"}]}",
                                      NO_SERVICE,
-                                     "{\"version\":7,\"tenants\":[{\"prepaid\":5}]}" };
+                                     "{\"version\":7,\"tenants\":[{\"prepaid\":5}]}",
+                                     "{\"version\":7,}",
+                                     "{\"version\":7 \"limits\":{}}",
+                                     "{\"version\":}",
+                                     "{\"version\" 7}",
+                                     "{\"version\":7} x",
+                                     "{\"version\":7]",
+                                     "{\"version\":7,\"routes\":}",
+                                     "{\"version\":7,\"routes\":x}",
+                                     "{\"version\":7,\"routes\":[}",
+                                     "{\"version\":7,\"services\":[{\"name\":\"s\"},]}",
+                                     "{\"version\":7,\"services\":[{\"name\":\"s\"} {}]}",
+                                     "{\"version\":7,\"services\":[,]}",
+                                     "{\"version\":7,\"services\":[{\"name\":\"s\"]]}",
+                                     "{\"version\":7,\"services\":[{\"name\":\"s\"}}}",
+                                     "{\"version\":7,\"limits\":{\"a\":}}",
+                                     "{\"version\":7,\"limits\":{}}}" };
 
   for (size_t i = 0; i < sizeof BAD / sizeof BAD[0]; i++)
     {
@@ -188,6 +271,35 @@
     }
 }
 
+/* Guards against a parser that looks for the parts of a row only where it expects them, or takes brackets and
+ * quotes within strings for those of the row. */
+static void
+parts_of_a_row_are_found_in_any_order_and_form (void)
+{
+  static const char ODD[]
+      = " {\n\"limits\" : { \"idle_timeout_ms\" :\t900 } ,\"x\\\"]}\":[\"}]\\\\\",{\"routes\":[]}],"
+        "\"routes\":[ "
+        "{\"name\":\"[{\\\"\",\"host\":\"h\\u0031\",\"path_prefix\":\"/]}\",\"service\":\"s,\"} ],"
+        "\"empty\":[ ],\"tenants\":[ ], \"number\":-1.5e3 ,\"services\":[{\"name\":\"s,\"} ,{} ]"
+        ",\"null\":null\t, \"version\" : 7 }\r\n";
+  Err err;
+  const Catalog *c = parse_row (ODD, &err);
+  const CatalogRoute *route;
+
+  CU_ASSERT_PTR_NOT_NULL (c);
+  if (!c)
+    return;
+  CU_ASSERT_EQUAL (catalog_version (c), 7);
+  CU_ASSERT_EQUAL (catalog_limits (c)->idle_timeout_ms, 900);
+  route = catalog_match_route (c, "GET", "h1", "/]}x");
+  CU_ASSERT_PTR_NOT_NULL (route);
+  if (!route)
+    return;
+  CU_ASSERT_STRING_EQUAL (route->name, "[{\"");
+  CU_ASSERT_STRING_EQUAL (route->targets[0].service->name, "s,");
+  catalog_unref (c);
+}
+
 /* Guards against reading past the end of a row, which is not zero-terminated. */
 static void
 truncated_row_is_rejected (void)
@@ -208,11 +320,15 @@
   static const TestCase CASES[] = {
     { "older_configuration_is_rejected", older_configuration_is_rejected },
     { "referenced_configuration_outlives_an_update", referenced_configuration_outlives_an_update },
+    { "method_and_order_decide_between_prefixes", method_and_order_decide_between_prefixes },
+    { "routes_are_freed_in_few_blocks", routes_are_freed_in_few_blocks },
     { "longest_matching_prefix_is_selected", longest_matching_prefix_is_selected },
     { "unknown_kind_is_treated_as_non_idempotent", unknown_kind_is_treated_as_non_idempotent },
     { "targets_share_requests_by_weight", targets_share_requests_by_weight },
     { "accounts_are_found_by_their_keys", accounts_are_found_by_their_keys },
     { "invalid_row_is_rejected", invalid_row_is_rejected },
+    { "parts_of_a_row_are_found_in_any_order_and_form",
+      parts_of_a_row_are_found_in_any_order_and_form },
     { "truncated_row_is_rejected", truncated_row_is_rejected },
   };
 
