http: read a response that arrived during a stall before the time limit

A call whose response had arrived in time ended as timed out if the loop was stalled until after its limit: calls to the store (1.2 s, and the wait of a long poll) with an unknown result. A feed then counts as lost and a transaction has to be looked for.

Cause: libcurl judges CURLOPT_TIMEOUT_MS in the very call of curl_multi_socket_action() that tells it that the socket is readable, so that the order of sockets and timers in the loop doesn't help.

The limit is a timer of the loop now, which fires after the sockets have been read. If a stall came before libcurl had started to connect or to send, the time counts from there, as it did with libcurl's limit.

Ruled out: connecting. libcurl looks at the socket before it judges CURLOPT_CONNECTTIMEOUT_MS; a test with a connection that is established in time while the loop is stalled passes without this change too. Left (not tested): a response that takes more than one read is still cut if the limit passes before the rest is read.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -50,6 +50,8 @@
   const char *body; /* copied */
   size_t body_len;
   int64_t connect_timeout_ms;
+  /** Limit of the time from the start of the request to the end of the response; connecting has its own limit before
+   * that. What had arrived when a limit was reached is read first, also if the loop was stalled. */
   int64_t timeout_ms;
   /** Opens a new connection, which no later exchange reuses. */
   bool own_connection;
--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -24,6 +24,9 @@
   void *data;
   char *body;
   size_t body_len;
+  Timer *time_limit;
+  int64_t timeout_ms;
+  int64_t last_step_ms; /* when it opened a connection or, later, started the request; 0: not yet */
   bool in_multi;
   int opened_fd;         /* of the connection that it opened */
   bool stale_connection; /* the connection that libcurl chose must not be used */
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -14,10 +14,11 @@
 #define MAX_HEAD_BYTES 32768
 #define MAX_HEAD_LINES 200
 
+static void start_time_limit (HttpExchange *x, int64_t ms);
+
 static HttpResult
-failure_of (HttpExchange *x, CURLcode code)
+failure_of (HttpExchange *x, bool timed_out)
 {
-  bool timed_out = code == CURLE_OPERATION_TIMEDOUT;
   curl_off_t uploaded = 0;
 
   if (x->response_started)
@@ -33,13 +34,15 @@
 static HttpResult
 result_of (HttpExchange *x, CURLcode code)
 {
-  return code == CURLE_OK && !x->aborted ? HTTP_COMPLETE : failure_of (x, code);
+  if (code == CURLE_OK && !x->aborted)
+    return HTTP_COMPLETE;
+  return failure_of (x, code == CURLE_OPERATION_TIMEDOUT);
 }
 
 HttpResult
 http_exchange_failure_point (HttpExchange *x)
 {
-  return failure_of (x, CURLE_ABORTED_BY_CALLBACK);
+  return failure_of (x, false);
 }
 
 void
@@ -56,6 +59,35 @@
   x->in_multi = false;
 }
 
+/* The limit is not libcurl's CURLOPT_TIMEOUT_MS: after a stall of the loop, libcurl ends an exchange in the very call
+ * that tells it that the response has arrived. Timers fire after the sockets have been read. For the same reason the time
+ * counts from the last step, connecting or the start of the request, if a stall has delayed that. */
+static void
+on_time_limit (void *data)
+{
+  HttpExchange *x = data;
+  int64_t now = timers_now_ms (loop_timers (x->client->loop));
+  int64_t left_ms = x->last_step_ms > 0 ? x->last_step_ms + x->timeout_ms - now : 0;
+  HttpResult result;
+
+  x->time_limit = NULL;
+  /* An exchange that has completed is reported by client_reap(). */
+  if (left_ms > 0 || x->client->reap_timer)
+    {
+      start_time_limit (x, left_ms);
+      return;
+    }
+  result = failure_of (x, true);
+  remove_from_multi (x);
+  x->events->done (x->data, x, result);
+}
+
+static void
+start_time_limit (HttpExchange *x, int64_t ms)
+{
+  x->time_limit = timers_start (loop_timers (x->client->loop), x, ms, on_time_limit, x);
+}
+
 static void
 report_headers (HttpExchange *x)
 {
@@ -103,6 +135,7 @@
       remove_from_multi (x);
       if (x->stale_connection && restart_on_new_connection (x))
         continue;
+      TALLOC_FREE (x->time_limit);
       if (result == HTTP_COMPLETE)
         report_headers (x);
       x->events->done (x->data, x, result);
@@ -141,6 +174,7 @@
   HttpExchange *x = data;
 
   (void)purpose;
+  x->last_step_ms = timers_now_ms (loop_timers (x->client->loop));
   x->opened_fd = socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
   return x->opened_fd;
 }
@@ -184,6 +218,7 @@
   if (x->stale_connection)
     return CURL_PREREQFUNC_ABORT;
   x->request_started = true;
+  x->last_step_ms = timers_now_ms (loop_timers (x->client->loop));
   return CURL_PREREQFUNC_OK;
 }
 
@@ -217,7 +252,6 @@
   curl_easy_setopt (e, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (e, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)request->connect_timeout_ms);
-  curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
   curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (e, CURLOPT_WRITEDATA, x);
   curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, on_header);
@@ -282,6 +316,8 @@
       return NULL;
     }
   x->in_multi = true;
+  x->timeout_ms = request->timeout_ms;
+  start_time_limit (x, x->timeout_ms);
   return x;
 }
 
--- a/tests/unit/test_http_results.c
+++ b/tests/unit/test_http_results.c
@@ -2,10 +2,12 @@
  * request did not run. No other failure may therefore be reported as one of them. */
 #include "harness.h"
 
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <talloc.h>
@@ -13,11 +15,15 @@
 #include "http/client.h"
 #include "canned_server.h"
 
-#define WAIT_LIMIT_S      60
-#define LARGE_BODY_BYTES  (32 << 20) /* more than the socket buffers of both ends hold */
-#define LONG_TIMEOUT_MS   20000
-#define SHORT_TIMEOUT_MS  3000 /* long enough to send a request on a busy machine */
-#define MAX_RECORDED_BODY 64
+#define WAIT_LIMIT_S        60
+#define LARGE_BODY_BYTES    (32 << 20) /* more than the socket buffers of both ends hold */
+#define LONG_TIMEOUT_MS     20000
+#define SHORT_TIMEOUT_MS    3000 /* long enough to send a request on a busy machine */
+#define MAX_RECORDED_BODY   64
+/* Time limit of an exchange during which the test stalls the loop, long enough for the steps before that. */
+#define STALLED_TIMEOUT_MS  500
+#define REPEATED_CONNECT_MS 1400
+#define N_BACKLOG           16
 
 typedef struct
 {
@@ -80,14 +86,15 @@
 }
 
 static void
-start_exchange (HttpFixture *f, const char *address, size_t body_len, int64_t timeout_ms)
+start_exchange_within (HttpFixture *f, const char *address, size_t body_len,
+                       int64_t connect_timeout_ms, int64_t timeout_ms)
 {
   char *body = talloc_zero_size (f, body_len ? body_len : 1);
   HttpRequest request = { .method = "POST",
                           .url = talloc_asprintf (f, "http://%s/x", address),
                           .body = body,
                           .body_len = body_len,
-                          .connect_timeout_ms = LONG_TIMEOUT_MS,
+                          .connect_timeout_ms = connect_timeout_ms,
                           .timeout_ms = timeout_ms,
                           .own_connection = true };
 
@@ -97,6 +104,12 @@
   talloc_free (body);
 }
 
+static void
+start_exchange (HttpFixture *f, const char *address, size_t body_len, int64_t timeout_ms)
+{
+  start_exchange_within (f, address, body_len, LONG_TIMEOUT_MS, timeout_ms);
+}
+
 static void
 wait_for_done (HttpFixture *f)
 {
@@ -272,6 +285,184 @@
   close (fd);
 }
 
+/* --- Time limits ------------------------------------------------------------------------- */
+
+/* A loop that does nothing for longer than the time limit of the exchange. */
+static void
+stall (int64_t limit_ms)
+{
+  int64_t ms = limit_ms + 50;
+  struct timespec ts = { ms / 1000, ms % 1000 * 1000000 };
+
+  clock_nanosleep (CLOCK_MONOTONIC, 0, &ts, NULL);
+}
+
+static void
+on_tick (void *data)
+{
+  HttpFixture *f = data;
+
+  timers_start (loop_timers (f->loop), f, 1, on_tick, f);
+}
+
+/* Runs the loop until the whole request has arrived. @return the accepted connection. */
+static int
+accept_request (HttpFixture *f, int listener)
+{
+  char request[4096] = "";
+  size_t len = 0;
+  int fd;
+
+  fcntl (listener, F_SETFL, O_NONBLOCK);
+  on_tick (f);
+  while ((fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK)) < 0 && !f->n_done)
+    tevent_loop_once (loop_tevent (f->loop));
+  while (!strstr (request, "\r\n\r\n") && !f->n_done)
+    {
+      ssize_t n = recv (fd, request + len, sizeof request - len - 1, 0);
+
+      if (n > 0)
+        len += (size_t)n;
+      tevent_loop_once (loop_tevent (f->loop));
+    }
+  return fd;
+}
+
+/* Guards against a time limit that is judged before the response is read that arrived in time, while the loop was
+ * stalled. */
+static void
+response_that_arrived_during_a_stall_is_complete (void)
+{
+  static const char RESPONSE[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  HttpFixture *f = fixture_new ();
+  char *address;
+  int listener = listen_on (f, &address);
+  int fd;
+
+  start_exchange (f, address, 0, STALLED_TIMEOUT_MS);
+  fd = accept_request (f, listener);
+  CU_ASSERT_EQUAL (f->n_done, 0);
+  CU_ASSERT_EQUAL (send (fd, RESPONSE, sizeof RESPONSE - 1, MSG_NOSIGNAL), sizeof RESPONSE - 1);
+  stall (STALLED_TIMEOUT_MS);
+  wait_for_done (f);
+  CU_ASSERT_EQUAL (f->result, HTTP_COMPLETE);
+  CU_ASSERT_STRING_EQUAL (f->body, "ok");
+  fixture_free (f);
+  close (fd);
+  close (listener);
+}
+
+/* Fills the backlog, so that the kernel ignores further connections. */
+static void
+fill_backlog (int listener, int fds[N_BACKLOG])
+{
+  struct sockaddr_in addr = { 0 };
+  socklen_t len = sizeof addr;
+
+  getsockname (listener, (struct sockaddr *)&addr, &len);
+  for (int i = 0; i < N_BACKLOG; i++)
+    {
+      fds[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)!connect (fds[i], (struct sockaddr *)&addr, sizeof addr);
+    }
+}
+
+static void
+empty_backlog (int listener, const int fds[N_BACKLOG])
+{
+  int fd;
+
+  for (int i = 0; i < N_BACKLOG; i++)
+    close (fds[i]);
+  fcntl (listener, F_SETFL, O_NONBLOCK);
+  while ((fd = accept (listener, NULL, NULL)) >= 0)
+    close (fd);
+}
+
+/* Guards against a connection that is given up although it was established in time, while the loop was stalled. Linux
+ * repeats the first packet of a connection after a second. */
+static void
+connection_that_was_established_during_a_stall_is_used (void)
+{
+  HttpFixture *f = fixture_new ();
+  char *address;
+  int listener = listen_on (f, &address);
+  int fds[N_BACKLOG];
+  int fd;
+
+  fill_backlog (listener, fds);
+  start_exchange_within (f, address, 0, REPEATED_CONNECT_MS, LONG_TIMEOUT_MS);
+  on_tick (f);
+  for (int i = 0; i < 20; i++) /* starts to connect */
+    tevent_loop_once (loop_tevent (f->loop));
+  empty_backlog (listener, fds);
+  stall (REPEATED_CONNECT_MS);
+  fd = accept_request (f, listener);
+  CU_ASSERT_EQUAL (f->n_done, 0);
+  CU_ASSERT (fd >= 0);
+  fixture_free (f);
+  close (fd);
+  close (listener);
+}
+
+/* Guards against an exchange that is given up before libcurl has started to connect. */
+static void
+stall_before_the_start_is_not_counted (void)
+{
+  HttpFixture *f = fixture_new ();
+  CannedServer server;
+  char *address
+      = canned_server_start (f, &server, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+
+  start_exchange_within (f, address, 10, STALLED_TIMEOUT_MS, STALLED_TIMEOUT_MS);
+  stall (STALLED_TIMEOUT_MS);
+  wait_for_done (f);
+  CU_ASSERT_EQUAL (f->result, HTTP_COMPLETE);
+  fixture_free (f);
+  canned_server_stop (&server);
+}
+
+/* Guards against time limits that are not kept at all, and against a result that does not say how far an exchange
+ * got. */
+static void
+time_limits_are_kept (void)
+{
+  HttpFixture *f = fixture_new ();
+  char *address;
+  int listener = listen_on (f, &address);
+  int fds[N_BACKLOG];
+  int64_t start_us = loop_monotonic_us ();
+
+  fill_backlog (listener, fds);
+  start_exchange_within (f, address, 10, STALLED_TIMEOUT_MS, LONG_TIMEOUT_MS);
+  wait_for_done (f);
+  CU_ASSERT_EQUAL (f->result, HTTP_TIMED_OUT_CONNECT);
+  CU_ASSERT (loop_monotonic_us () - start_us < (int64_t)SHORT_TIMEOUT_MS * 1000);
+  empty_backlog (listener, fds);
+  fixture_free (f);
+  close (listener);
+}
+
+/* Guards against an unfinished response that is waited for without end. */
+static void
+unfinished_response_times_out (void)
+{
+  static const char PART[] = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
+  HttpFixture *f = fixture_new ();
+  char *address;
+  int listener = listen_on (f, &address);
+  int fd;
+
+  start_exchange (f, address, 0, SHORT_TIMEOUT_MS);
+  fd = accept_request (f, listener);
+  CU_ASSERT_EQUAL (send (fd, PART, sizeof PART - 1, MSG_NOSIGNAL), sizeof PART - 1);
+  wait_for_done (f);
+  CU_ASSERT_EQUAL (f->result, HTTP_TIMED_OUT_PARTIAL);
+  fixture_free (f);
+  close (fd);
+  close (listener);
+}
+
 int
 main (void)
 {
@@ -284,6 +475,13 @@
     { "reset_while_sending_is_not_a_connect_failure",
       reset_while_sending_is_not_a_connect_failure },
     { "freed_exchange_calls_no_callback", freed_exchange_calls_no_callback },
+    { "response_that_arrived_during_a_stall_is_complete",
+      response_that_arrived_during_a_stall_is_complete },
+    { "connection_that_was_established_during_a_stall_is_used",
+      connection_that_was_established_during_a_stall_is_used },
+    { "stall_before_the_start_is_not_counted", stall_before_the_start_is_not_counted },
+    { "time_limits_are_kept", time_limits_are_kept },
+    { "unfinished_response_times_out", unfinished_response_times_out },
   };
 
   return harness_run ("http_results", TESTS, sizeof TESTS / sizeof TESTS[0]);
