platform: reject rows and replies that are no JSON again

Values of rows could contain bytes that no string of JSON may contain, "\n" within base64 was decoded as an n, and a response that starts with a quote passed a null pointer to memcpy.

Values may contain printable ASCII and valid escapes only.

--- a/tests/unit/test_platform_reply.c
+++ b/tests/unit/test_platform_reply.c
@@ -11,7 +11,7 @@
 static const char ROWS[]
     = "{ \"rows\" : [{\"table\":\"t\",\"part\":\"p\",\"key\":\"a\\\"\\\\\",\"value\" : "
       "\"aGVsbG8+Pz8=\",\"version_number\":3},\n{\"key\":\"value\",\"value\":null,"
-      "\"tombstone\":true,\"version_number\":4},{\"value\":\"\\u0061GVsbG8\\u002BPz8\\/\","
+      "\"tombstone\":true,\"version_number\":4},{\"value\":\"\\u0061GVs\\r\\nbG8\\u002BPz8\\/\","
       "\"key\":\"c\"},{\"key\":\"d\",\"value\":\"\",\"other\":\"value\"}],"
       "\"version_number\":9,\"current_time_ms\":77.5,\"has_more\":true}";
 
@@ -67,6 +67,11 @@
 {
   static const char *const BAD[] = { "",
                                      "[]",
+                                     "\"x\"",
+                                     "{\"rows\":[{\"key\":\"a\",\"value\":\"aG\nVs\"}]}",
+                                     "{\"rows\":[{\"key\":\"a\",\"value\":\"aG\\Vs\"}]}",
+                                     "{\"rows\":[{\"key\":\"a\",\"value\":\"aG\\u00gVs\"}]}",
+                                     "{\"rows\":[{\"key\":\"a\",\"value\":\"aG\xffVs\"}]}",
                                      "{\"rows\":[7]}",
                                      "{\"rows\":[{\"value\":\"aGVs\"}]}",
                                      "{\"rows\":[{\"key\":\"a\",\"value\":\"aGVs\"\"aGVs\"}]}",
