relay: log the versions of servers and the streams that are taken up

A stream that went on at another software version than the one that began it could not be seen in the logs of hosts: the version of a server's record was read and used nowhere, nor the request header that names the first request of a stream that is taken up. The header is passed on as before. Nothing is decided differently.

--- a/src/core/log.c
+++ b/src/core/log.c
@@ -155,6 +155,17 @@
   pthread_mutex_unlock (&buffer.lock);
 }
 
+const char *
+log_word (char *out, size_t size, const char *text)
+{
+  size_t n = 0;
+
+  for (const char *p = text ? text : "-"; *p && n + 1 < size; p++)
+    out[n++] = *p > ' ' && *p <= '~' && *p != '"' && *p != '=' ? *p : '?';
+  out[n] = '\0';
+  return out;
+}
+
 void
 log_flush (void)
 {
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <stdbool.h>
+#include <stddef.h>
 
 typedef enum
 {
@@ -28,5 +29,9 @@
 void log_event (LogLevel level, const char *component, const char *event, const char *fmt, ...)
     __attribute__ ((format (printf, 4, 5)));
 
+/** Copies @p text, or as much of it as fits, in a form that needs no double quotes: blanks, quotes, equals signs and bytes
+ * that are not printable ASCII are replaced. @param text NULL: copies "-". @return @p out. */
+const char *log_word (char *out, size_t size, const char *text);
+
 /** Writes as much of the buffer as standard output accepts without blocking. Any thread. */
 void log_flush (void);
--- a/src/dispatch/assignments.c
+++ b/src/dispatch/assignments.c
@@ -29,6 +29,7 @@
 
   pthread_mutex_lock (&a->dispatch->lock);
   state = (AssignmentServer){ .instance = { s->id, s->address, s->started_ms },
+                              .version = a->version,
                               .draining = s->draining,
                               .others_in_flight = s->in_flight - 1 };
   pthread_mutex_unlock (&a->dispatch->lock);
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -15,6 +15,7 @@
 #include "dispatch/limit_statement.h"
 #include "dispatch/retry_budget.h"
 #include "dispatch/server_record.h"
+#include "dispatch/server_version.h"
 
 typedef struct Dispatch Dispatch;
 typedef struct Assignment Assignment;
@@ -112,6 +113,8 @@
 typedef struct
 {
   ServerInstance instance; /* valid as long as the assignment */
+  const char
+      *version; /* of the server's software when it was chosen; valid as long as the assignment */
   bool draining;
   int others_in_flight; /* other requests of this host */
 } AssignmentServer;
--- a/src/dispatch/dispatch_impl.h
+++ b/src/dispatch/dispatch_impl.h
@@ -48,6 +48,7 @@
   bool first_event_seen;
   bool closes_connection; /* the server closes the connection after the response */
   bool is_engine;         /* the server is an inference engine, which processes prompts */
+  char version[SERVER_VERSION_BYTES]; /* of the server, when it was chosen */
   AssignmentLimits limits;
 };
 
--- a/src/dispatch/server.c
+++ b/src/dispatch/server.c
@@ -37,6 +37,7 @@
 void
 server_update (Server *s, const ServerRecord *r, int64_t now_ms)
 {
+  server_version_set (s->version, r->version);
   s->slots = r->slots;
   s->draining = r->draining;
   s->warmup_until_ms = r->warmup_ms > 0 ? now_ms + r->warmup_ms : 0;
--- a/src/dispatch/server.h
+++ b/src/dispatch/server.h
@@ -12,6 +12,7 @@
 #include "dispatch/idle_connections.h"
 #include "dispatch/server_limit.h"
 #include "dispatch/server_record.h"
+#include "dispatch/server_version.h"
 
 /** The distance of a server from this host. */
 typedef enum
@@ -30,7 +31,8 @@
   char *service;
   char *address;
   char *data_centre;
-  char *region;  /* NULL: unknown */
+  char *region; /* NULL: unknown */
+  char version[SERVER_VERSION_BYTES];
   uint64_t hash; /* of the id, for rendezvous hashing */
   ServerLocality locality;
   int slots;
--- a/src/dispatch/server_record.h
+++ b/src/dispatch/server_record.h
@@ -11,8 +11,8 @@
   const char *service;
   const char *address; /* "IP:port" */
   const char *data_centre;
-  const char *version;
-  int slots; /* number of requests that it can run at once; 0: unknown */
+  const char *version; /* of its software: any text; NULL is the same as an empty one */
+  int slots;           /* number of requests that it can run at once; 0: unknown */
   bool draining;
   int64_t warmup_ms;  /* remaining time in which it is slower, after its start */
   int64_t started_ms; /* wall clock time of its start; 0: unknown */
--- /dev/null
+++ b/src/dispatch/server_version.h
@@ -0,0 +1,11 @@
+/** @file
+ * The name of the software version of a server, from its record. Two servers are of one version if their whole names
+ * are equal; a missing name is the empty one, which is a version like any other. Stateless; any thread. */
+#pragma once
+
+/** Size of a stored name, including the terminating NUL. */
+#define SERVER_VERSION_BYTES 72
+
+/** Stores @p name, which may be NULL. A name that is too long to be stored is replaced by its SHA-256 sum, in a form that
+ * no shorter name has, so that equal texts are stored for equal names only. */
+void server_version_set (char out[SERVER_VERSION_BYTES], const char *name);
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -139,6 +139,7 @@
   Server *s;
   ServerInstance *ended = NULL;
   ServerInstance instance;
+  char version[SERVER_VERSION_BYTES];
   bool was_draining;
 
   pthread_mutex_lock (&d->lock);
@@ -165,8 +166,9 @@
       g_hash_table_insert (d->servers, s->id, s);
       list_append (&server_pool_get (d, r->service)->servers, &s->node);
       log_event (LOG_LEVEL_INFO, "dispatch", "server_seen",
-                 "server=%s service=%s address=%s data_centre=%s leaving=%d", r->id, r->service,
-                 r->address, r->data_centre, r->draining);
+                 "server=%s service=%s address=%s data_centre=%s version=%s leaving=%d", r->id,
+                 r->service, r->address, r->data_centre,
+                 log_word (version, sizeof version, r->version), r->draining);
     }
   else if (r->draining && !was_draining)
     log_draining (s, "entry");
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -102,6 +102,7 @@
   r->state = RELAY_SENT;
   snprintf (r->server, sizeof r->server, "%s", assignment_server (assignment));
   r->limits = assignment_limits (assignment);
+  log_word (r->version, sizeof r->version, assignment_server_state (assignment).version);
   a->call = send_request (r, a);
   if (!a->call)
     fail_attempt (r, a, FAIL_BEFORE_CONNECT, ERR_CONNECT_FAILED);
@@ -147,11 +148,12 @@
 static void
 log_retry (const Relay *r, const Attempt *a, ErrKind kind, ErrKind retry_error)
 {
-  log_event (
-      LOG_LEVEL_INFO, "relay", retry_error == ERR_NONE ? "retry" : "no_retry",
-      "id=%s server=%s attempt=%d reason=%s rule=%s runs=%d events=%" PRId64 " left_ms=%" PRId64,
-      r->request->id, r->server, a->number, err_info (kind)->name, err_info (retry_error)->name,
-      r->runs, r->events, r->deadline_ms - timers_now_ms (r->deps->timers));
+  log_event (LOG_LEVEL_INFO, "relay", retry_error == ERR_NONE ? "retry" : "no_retry",
+             "id=%s server=%s version=%s attempt=%d reason=%s rule=%s runs=%d events=%" PRId64
+             " left_ms=%" PRId64,
+             r->request->id, r->server, r->version, a->number, err_info (kind)->name,
+             err_info (retry_error)->name, r->runs, r->events,
+             r->deadline_ms - timers_now_ms (r->deps->timers));
 }
 
 static void
--- a/src/relay/relay_finish.c
+++ b/src/relay/relay_finish.c
@@ -16,6 +16,12 @@
 /* Size of the text of the log fields on limits of servers. */
 #define LIMITS_BYTES 96
 
+/* Of an id from a client in the log, including the terminating NUL; the rest of a longer one is left out. */
+#define LOG_ID_BYTES 64
+
+/* Size of the text of the log field on the stream that is taken up. */
+#define RESUMES_BYTES (LOG_ID_BYTES + 16)
+
 /* --- Settlement -------------------------------------------------------------------------- */
 
 static Charge
@@ -65,26 +71,40 @@
               l->avoided, l->requests_per_s, l->age_ms);
 }
 
+/* Empty if the client does not take up a stream. */
+static void
+format_resumes (const RelayRequest *q, char text[RESUMES_BYTES])
+{
+  char word[LOG_ID_BYTES];
+
+  text[0] = '\0';
+  if (q->resumes)
+    snprintf (text, RESUMES_BYTES, " resumes=%s", log_word (word, sizeof word, q->resumes));
+}
+
 static void
 log_end (const Relay *r)
 {
   const RelayRequest *q = r->request;
   int64_t total = timers_now_ms (r->deps->timers) - r->received_ms;
   char limits[LIMITS_BYTES];
+  char resumes[RESUMES_BYTES];
 
   format_limits (r, limits);
-
+  format_resumes (q, resumes);
   histogram_add (relay_counters ()->duration, total * 1000);
-  log_event (r->reason == ERR_NONE ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "relay", "end",
-             "id=%s route=%s service=%s account=%s status=%d reason=%s server=%s sends=%d runs=%d "
-             "prompt=%" PRId64 " reserved=%" PRId64 " settled=%" PRId64 " charge=%s events=%" PRId64
-             " first_ms=%" PRId64 " gap_ms=%" PRId64 " total_ms=%" PRId64 " left_ms=%" PRId64 "%s",
-             q->id, q->route ? q->route->name : "-", q->service->name,
-             q->account ? q->account : "-", r->status, err_info (r->reason)->name,
-             r->server[0] ? r->server : "-", r->sends, r->runs, q->prompt_tokens, r->reserved,
-             r->charge.tokens, r->reserved > 0 ? charge_outcome_name (r->charge.outcome) : "-",
-             r->events, r->first_event_ms, r->max_gap_ms, total,
-             r->deadline_ms - timers_now_ms (r->deps->timers), limits);
+  log_event (
+      r->reason == ERR_NONE ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "relay", "end",
+      "id=%s route=%s service=%s account=%s status=%d reason=%s server=%s version=%s sends=%d "
+      "runs=%d "
+      "prompt=%" PRId64 " reserved=%" PRId64 " settled=%" PRId64 " charge=%s events=%" PRId64
+      " first_ms=%" PRId64 " gap_ms=%" PRId64 " total_ms=%" PRId64 " left_ms=%" PRId64 "%s%s",
+      q->id, q->route ? q->route->name : "-", q->service->name, q->account ? q->account : "-",
+      r->status, err_info (r->reason)->name, r->server[0] ? r->server : "-",
+      r->server[0] ? r->version : "-", r->sends, r->runs, q->prompt_tokens, r->reserved,
+      r->charge.tokens, r->reserved > 0 ? charge_outcome_name (r->charge.outcome) : "-", r->events,
+      r->first_event_ms, r->max_gap_ms, total, r->deadline_ms - timers_now_ms (r->deps->timers),
+      limits, resumes);
 }
 
 static void
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -78,6 +78,7 @@
   int64_t max_gap_ms;
   char server[64];         /* id of the server of the latest attempt; for the log and error texts */
   AssignmentLimits limits; /* of the choice of that server; for the log */
+  char version[SERVER_VERSION_BYTES]; /* of that server, as a word for the log */
   /* For the charge and the log. */
   ErrKind reason; /* why the request failed; ERR_NONE: the response was forwarded completely */
   int status;     /* of the response to the client; 0 until it is known */
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -36,6 +36,8 @@
   int64_t route_timeout_ms;  /* configured for the route; 0: none */
   int64_t target_latency_ms; /* 0: none */
   const char *last_event_id; /* the client resumes its stream after this event; may be NULL */
+  const char *
+      resumes; /* id of the client's request that brought the first event of that stream; may be NULL */
   bool has_prompt;
   Tokens prompt_tokens;
   Tokens max_tokens;
--- a/tests/unit/test_core.c
+++ b/tests/unit/test_core.c
@@ -11,6 +11,7 @@
 #include "core/err.h"
 #include "core/histogram.h"
 #include "core/invariant.h"
+#include "core/log.h"
 #include "core/loop.h"
 #include "core/rng.h"
 #include "core/tokens.h"
@@ -169,6 +170,19 @@
   talloc_free (r.loop);
 }
 
+/* Guards against a name from outside that looks like further fields of its log line. */
+static void
+word_in_the_log_forges_no_field (void)
+{
+  char word[12];
+
+  CU_ASSERT_STRING_EQUAL (log_word (word, sizeof word, "v1.1-rc_2"), "v1.1-rc_2");
+  CU_ASSERT_STRING_EQUAL (log_word (word, sizeof word, "a b=\"\n\xc3"), "a?b????");
+  CU_ASSERT_STRING_EQUAL (log_word (word, sizeof word, "0123456789abc"), "0123456789a");
+  CU_ASSERT_STRING_EQUAL (log_word (word, sizeof word, NULL), "-");
+  CU_ASSERT_STRING_EQUAL (log_word (word, sizeof word, ""), "");
+}
+
 /* Guards against an INVARIANT macro that does not report violations. */
 static void
 violated_invariant_calls_the_hook (void)
@@ -188,6 +202,7 @@
     { "virtual_timers_fire_in_order", virtual_timers_fire_in_order },
     { "frozen_timers_fire_after_the_freeze", frozen_timers_fire_after_the_freeze },
     { "loop_timers_follow_the_monotonic_clock", loop_timers_follow_the_monotonic_clock },
+    { "word_in_the_log_forges_no_field", word_in_the_log_forges_no_field },
     { "violated_invariant_calls_the_hook", violated_invariant_calls_the_hook },
   };
 
