relay: break off a stream that had begun if no server can take the rest

A client whose stream broke off between two servers, and whose rest no server could take (none left, limits, retry limits, quarantine), got neither more events nor an end: the relay answered with an error response, which the connection drops because the head is out, and then released the connection without ending it. The client waited until its own time ended. Now such a stream is broken off at once, as after any other failure that can't be retried, and the log has relay not_resumed with the reason.

The test failed before (a second response, no abort). Ruled out: the buffered responses, which end with the error as before.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -73,6 +73,20 @@
   return 0;
 }
 
+/* No server can be asked. Ends the request. */
+static void
+fail_placement (Relay *r, const Err *err)
+{
+  if (!r->response_started)
+    {
+      relay_finish_error (r, err);
+      return;
+    }
+  log_event (LOG_LEVEL_NOTICE, "relay", "not_resumed", "id=%s reason=%s detail=\"%s\"",
+             r->request->id, err_info (err->kind)->name, err->detail);
+  relay_abort (r, err->kind);
+}
+
 void
 relay_start_attempt (Relay *r)
 {
@@ -87,7 +101,7 @@
                    : NULL;
   if (!assignment)
     {
-      relay_finish_error (r, &err);
+      fail_placement (r, &err);
       return;
     }
   a = talloc_zero (r, Attempt);
--- a/tests/unit/relay_fixture.c
+++ b/tests/unit/relay_fixture.c
@@ -83,22 +83,29 @@
   timers_start (f->deps.timers, f->budgets, 0, fn, data);
 }
 
+void
+relay_fixture_publish (RelayFixture *f, int server, const char *version, int64_t started_ms,
+                       bool draining)
+{
+  char id[24];
+  ServerRecord record = { .id = id,
+                          .service = f->service->name,
+                          .address = id,
+                          .data_centre = "d",
+                          .version = version,
+                          .slots = 8,
+                          .draining = draining,
+                          .started_ms = started_ms };
+
+  snprintf (id, sizeof id, "server-%d", server);
+  dispatch_server_changed (f->dispatch, &record, timers_now_ms (f->deps.timers));
+}
+
 static void
 add_servers (RelayFixture *f)
 {
   for (int i = 0; i < SERVERS; i++)
-    {
-      char id[24];
-      ServerRecord record = { .id = id,
-                              .service = f->service->name,
-                              .address = id,
-                              .data_centre = "d",
-                              .version = "v1",
-                              .slots = 8 };
-
-      snprintf (id, sizeof id, "server-%d", i);
-      dispatch_server_changed (f->dispatch, &record, timers_now_ms (f->deps.timers));
-    }
+    relay_fixture_publish (f, i, "v1", 0, false);
 }
 
 RelayFixture *
--- a/tests/unit/relay_fixture.h
+++ b/tests/unit/relay_fixture.h
@@ -37,6 +37,10 @@
 RelayFixture *relay_fixture_new (CallKind kind);
 void relay_fixture_free (RelayFixture *f);
 
+/** Announces the server "server-N", or its changed record; @p version may be NULL. */
+void relay_fixture_publish (RelayFixture *f, int server, const char *version, int64_t started_ms,
+                            bool draining);
+
 /** Starts the request and advances the virtual time by 100 ms. */
 void relay_fixture_start (RelayFixture *f);
 
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -309,6 +309,28 @@
   relay_fixture_free (f);
 }
 
+/* Guards against a response that has begun and is neither continued nor ended. */
+static void
+broken_stream_that_no_server_can_take_is_aborted (void)
+{
+  RelayFixture *f = relay_fixture_new (CALL_STREAM);
+
+  f->request.resumable = true;
+  f->request.repeatable = true;
+  relay_fixture_start (f);
+  relay_fixture_send_head (f, 200);
+  fake_backend_send_body (relay_fixture_last_call (f), "id: 1\ndata: a\n\n");
+  for (int i = 0; i < 3; i++)
+    relay_fixture_publish (f, i, "v1", 0, true);
+  fake_backend_fail (relay_fixture_last_call (f), FAIL_RESPONSE_TRUNCATED);
+  CU_ASSERT_EQUAL (n_sent (f), 1);
+  CU_ASSERT_EQUAL (f->n_responses, 1);
+  CU_ASSERT (f->aborted);
+  CU_ASSERT_STRING_EQUAL (f->body, "id: 1\ndata: a\n\n");
+  CU_ASSERT_PTR_NULL (f->relay);
+  relay_fixture_free (f);
+}
+
 /* Guards against charging output that was not delivered, and against charging nothing when some was. */
 static void
 stream_is_charged_for_its_prompt_and_delivered_output (void)
@@ -364,6 +386,8 @@
       stream_that_ends_inside_an_event_is_not_complete },
     { "resumable_stream_continues_after_its_last_event",
       resumable_stream_continues_after_its_last_event },
+    { "broken_stream_that_no_server_can_take_is_aborted",
+      broken_stream_that_no_server_can_take_is_aborted },
     { "stream_is_charged_for_its_prompt_and_delivered_output",
       stream_is_charged_for_its_prompt_and_delivered_output },
     { "slow_client_pauses_the_server", slow_client_pauses_the_server },
