relay, dispatch: place the rest of a broken stream at its version only

What two versions write doesn't fit together, and nothing in the answer showed it. Cause: nobody looked; the version of a server's record was not part of the choice of a server.

The first forwarded event binds a response to the version of its server. DispatchQuery has the version, which dispatch_pick() takes servers of; if none is left, its error is version_gone, apart from overloaded and server_limits, and the stream is broken off. Limits, quarantine and retry limits hold as before. Before its first event nothing binds a stream.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -55,9 +55,9 @@
   Server *second;
   double second_cost;
   const Server *affinity;
-  int eligible; /* not draining and not tried; includes at_limit, paused and those in backoff */
-  int at_limit; /* have as many requests of this host as its share of the connections */
-  int limited;  /* this host has used its share of their limits */
+  int eligible; /* of the version, not draining and not tried; includes at_limit, paused and those in backoff */
+  int at_limit;            /* have as many requests of this host as its share of the connections */
+  int limited;             /* this host has used its share of their limits */
   const Server *a_limited; /* one of these */
   int paused;              /* have asked this host for a pause */
   int64_t paused_until_ms; /* the earliest end of a pause */
@@ -128,7 +128,7 @@
       LimitState limit;
       double cost;
 
-      if (s->draining || was_tried (s, q))
+      if (s->draining || !server_has_version (s, q->version) || was_tried (s, q))
         continue;
       c->eligible++;
       if (q->now_ms < s->pause_until_ms)
@@ -217,20 +217,26 @@
 }
 
 static ErrKind
-pick_error_kind (const Candidates *c)
+pick_error_kind (const DispatchQuery *q, const Candidates *c)
 {
   if (c->limited > 0)
     return ERR_SERVER_LIMITS;
-  return c->eligible ? ERR_OVERLOADED : ERR_NO_SERVER;
+  if (c->eligible > 0)
+    return ERR_OVERLOADED;
+  return q->version ? ERR_VERSION_GONE : ERR_NO_SERVER;
 }
 
 static void
 set_pick_error (Dispatch *d, const DispatchQuery *q, const Candidates *c, Err *err)
 {
-  err_set (err, pick_error_kind (c),
-           "service %s: %d servers, %d of them full, %d want nothing for now, %d at their limits "
+  char version[SERVER_VERSION_BYTES];
+
+  err_set (err, pick_error_kind (q, c),
+           "service %s, version %s: %d servers, %d of them full, %d want nothing for now, %d at "
+           "their limits "
            "(one: %.3f a second, stated %" PRId64 " ms ago)",
-           q->service->name, c->eligible, c->at_limit, c->paused, c->limited,
+           q->service->name, q->version ? log_word (version, sizeof version, q->version) : "any",
+           c->eligible, c->at_limit, c->paused, c->limited,
            c->a_limited ? c->a_limited->limit.requests_per_s : 0,
            c->a_limited ? q->now_ms - c->a_limited->limit.stated_ms : 0);
   if (c->limited > 0)
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -92,7 +92,8 @@
 {
   const CatalogService *service;
   int64_t now_ms;
-  bool is_retry; /* not the first attempt of the request: counts against the retry limits */
+  bool is_retry;       /* not the first attempt of the request: counts against the retry limits */
+  const char *version; /* only servers of this version, as in AssignmentServer; NULL: of any */
   Tokens prompt_tokens;
   Tokens max_tokens; /* of the response */
   const PromptPart *parts;
@@ -103,8 +104,8 @@
 
 /** Chooses a server and counts the request as in flight there until assignment_end(). The only place that takes
  * from the limits of servers.
- * @return a talloc object under @p ctx, or NULL with ERR_NO_SERVER, ERR_OVERLOADED, ERR_SERVER_LIMITS or
- * ERR_RETRIES_EXHAUSTED. */
+ * @return a talloc object under @p ctx, or NULL with ERR_NO_SERVER, ERR_VERSION_GONE, ERR_OVERLOADED, ERR_SERVER_LIMITS
+ * or ERR_RETRIES_EXHAUSTED. */
 Assignment *dispatch_pick (Dispatch *dispatch, const void *ctx, const DispatchQuery *query,
                            Err *err);
 
--- a/src/dispatch/server.c
+++ b/src/dispatch/server.c
@@ -104,6 +104,12 @@
     s->pause_until_ms = now_ms + ms;
 }
 
+bool
+server_has_version (const Server *s, const char *version)
+{
+  return !version || !strcmp (s->version, version);
+}
+
 bool
 server_is_usable (const Server *s, int64_t now_ms)
 {
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -29,6 +29,7 @@
   *q = (DispatchQuery){ .service = request->service,
                         .now_ms = timers_now_ms (r->deps->timers),
                         .is_retry = r->sends > 0,
+                        .version = relay_required_version (r),
                         .prompt_tokens = request->prompt_tokens,
                         .max_tokens = request->max_tokens,
                         .parts = request->parts,
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -1,5 +1,5 @@
 /* Internals of the relay: relay.c (budget, deadline, client), relay_attempt.c (server selection, backend
- * events, retries), relay_stream.c (stream events), relay_cut.c (exchanges that were cut off), relay_finish.c (final response, settlement, log). */
+ * events, retries), relay_stream.c (stream events), relay_version.c (which version a stream is bound to), relay_cut.c (exchanges that were cut off), relay_finish.c (final response, settlement, log). */
 #pragma once
 
 #include "relay/charge.h"
@@ -17,6 +17,14 @@
   RELAY_FINISHED
 } RelayState;
 
+/* What two versions of a server's software write doesn't fit together, so that the events of a stream must come from
+ * servers of one version. */
+typedef enum
+{
+  BINDING_NONE,   /* any version may be asked: no event was forwarded */
+  BINDING_VERSION /* only Relay.bound_version */
+} VersionBinding;
+
 typedef enum
 {
   RESPONSE_VALID,
@@ -65,10 +73,12 @@
   Attempt *attempt;
   char *tried[DISPATCH_MAX_TRIED]; /* ids of the servers of failed attempts */
   size_t n_tried;
-  int sends;                          /* attempts started */
-  int runs;                           /* attempts that may have run */
-  bool response_started;              /* part of the response was sent to the client */
-  bool write_blocked;                 /* until relay_client_writable() */
+  int sends;             /* attempts started */
+  int runs;              /* attempts that may have run */
+  bool response_started; /* part of the response was sent to the client */
+  bool write_blocked;    /* until relay_client_writable() */
+  VersionBinding binding;
+  char bound_version[SERVER_VERSION_BYTES];
   char last_event_id[EVENT_ID_BYTES]; /* of the last event forwarded */
   int64_t events;                     /* stream events forwarded */
   Tokens delivered;                   /* output tokens that the forwarded events count as */
@@ -89,6 +99,15 @@
 void relay_start_attempt (Relay *r);
 void relay_end_attempt (Relay *r, AssignmentResult result);
 
+/* relay_version.c */
+/* From now on only servers of this version may be asked. To be called before the first attempt if the client takes up a
+ * stream that @p version began. @param version as in AssignmentServer. */
+void relay_require_version (Relay *r, const char *version);
+/* @return the only version that may be asked, or NULL: any. */
+const char *relay_required_version (const Relay *r);
+/* To be called before the first event of the attempt is forwarded. */
+void relay_bind_version (Relay *r, const Attempt *a);
+
 /* relay_cut.c */
 void relay_set_keys (Relay *r);
 /* @param is_sent false: before its budget is reserved. @return whether the request may be sent to a server. */
--- a/src/relay/relay_stream.c
+++ b/src/relay/relay_stream.c
@@ -118,6 +118,8 @@
     r->usage = decoded.usage;
   if (decoded.hidden)
     return true;
+  if (!a->first_event_ms)
+    relay_bind_version (r, a);
   if (!r->response_started)
     {
       begin_response (r, a);
--- a/tests/unit/test_versions.c
+++ b/tests/unit/test_versions.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "dispatch/server_version.h"
+#include "dispatch_fixture.h"
 #include "harness.h"
 #include "relay_fixture.h"
 
@@ -37,6 +38,35 @@
   CU_ASSERT_STRING_EQUAL (a, "");
 }
 
+/* Guards against an error that tells a stream to wait for servers that will not come, or not to wait for busy ones. */
+static void
+version_without_a_server_is_told_apart_from_busy_servers (void)
+{
+  DispatchFixture *fx = dispatch_fixture_new (1, 1, "cost");
+  DispatchQuery query = { .service = fx->engine_service, .now_ms = fx->now_ms, .version = "v2" };
+  Assignment *taken[1000];
+  int n = 0;
+  Err err = ERR_INIT;
+
+  CU_ASSERT_PTR_NULL (dispatch_pick (fx->hosts[0], fx, &query, &err));
+  CU_ASSERT_EQUAL (err.kind, ERR_VERSION_GONE);
+  query.version = "v1";
+  while (n < 1000 && (taken[n] = dispatch_pick (fx->hosts[0], fx, &query, &err)))
+    n++;
+  CU_ASSERT (n > 0 && n < 1000);
+  CU_ASSERT_EQUAL (err.kind, ERR_OVERLOADED);
+  CU_ASSERT_STRING_EQUAL (assignment_server_state (taken[0]).version, "v1");
+  while (n > 0)
+    assignment_end (taken[--n], ASSIGNMENT_CANCELLED, fx->now_ms);
+  dispatch_fixture_publish (fx, 0, true);
+  CU_ASSERT_PTR_NULL (dispatch_pick (fx->hosts[0], fx, &query, &err));
+  CU_ASSERT_EQUAL (err.kind, ERR_VERSION_GONE);
+  query.version = NULL;
+  CU_ASSERT_PTR_NULL (dispatch_pick (fx->hosts[0], fx, &query, &err));
+  CU_ASSERT_EQUAL (err.kind, ERR_NO_SERVER);
+  dispatch_fixture_free (fx);
+}
+
 /* --- Within one response ----------------------------------------------------------------- */
 
 #define NOWHERE    (-1)
@@ -320,6 +350,8 @@
   static const TestCase CASES[] = {
     { "versions_are_told_apart_by_their_whole_names",
       versions_are_told_apart_by_their_whole_names },
+    { "version_without_a_server_is_told_apart_from_busy_servers",
+      version_without_a_server_is_told_apart_from_busy_servers },
     { "broken_stream_goes_on_only_at_the_version_that_began_it",
       broken_stream_goes_on_only_at_the_version_that_began_it },
     { "stream_without_an_event_goes_on_at_any_version",
