relay, dispatch: don't resume a stream whose server's record changed

The version of a server belongs to its start, not to its id, and the record that a host holds may be older than the server at that address.

A changed record of the same start is now counted, and a record of another start marks the one it replaces; an assignment's version is doubtful if either happened since the choice, also when the first record was removed in between. The version of a stream with events of such an attempt is unknown: a break ends it (version_unknown). The rest of a bound stream from such a server is not forwarded but asked elsewhere. After an attempt has ended, only a record with another version counts: most broken attempts end with their server, which may start again at the same version. A record of an earlier start stays ignored and changes nothing.

Not seen by this: a server that starts again under its id with another version, is asked, and breaks off before its new record reaches the host.

--- a/src/core/err.c
+++ b/src/core/err.c
@@ -27,6 +27,7 @@
   [ERR_SERVER_LIMITS] = { "server_limits", 503, OUTCOME_NOT_RUN, true },
   [ERR_NO_SERVER] = { "no_server", 503, OUTCOME_NOT_RUN, true },
   [ERR_VERSION_GONE] = { "version_gone", 503, OUTCOME_NOT_RUN, true },
+  [ERR_VERSION_UNKNOWN] = { "version_unknown", 503, OUTCOME_NOT_RUN, true },
   [ERR_QUARANTINED] = { "quarantined", 503, OUTCOME_NOT_RUN, true },
   [ERR_SERVER_DRAINING] = { "server_leaving", 503, OUTCOME_NOT_RUN, true },
   [ERR_STOP_PLANNED] = { "stop_planned", 503, OUTCOME_NOT_RUN, true },
--- a/src/core/err.h
+++ b/src/core/err.h
@@ -32,8 +32,9 @@
   ERR_OVERLOADED,
   ERR_SERVER_LIMITS, /* the usable servers have stated limits, and this host has used its shares of them */
   ERR_NO_SERVER,
-  ERR_VERSION_GONE, /* no server is left of the software version that began the stream */
-  ERR_QUARANTINED,  /* servers have ended under requests of its kind */
+  ERR_VERSION_GONE,    /* no server is left of the software version that began the stream */
+  ERR_VERSION_UNKNOWN, /* which software version wrote the stream so far */
+  ERR_QUARANTINED,     /* servers have ended under requests of its kind */
   ERR_SERVER_DRAINING,
   ERR_STOP_PLANNED,
   ERR_DEADLINE_EXCEEDED,
--- a/src/dispatch/assignments.c
+++ b/src/dispatch/assignments.c
@@ -21,6 +21,31 @@
   return a->server->address;
 }
 
+static bool
+version_is_doubtful (const Assignment *a)
+{
+  const Server *s = a->server;
+  const Server *known = g_hash_table_lookup (a->dispatch->servers, s->id);
+
+  if (s->replaced || s->version_changes != a->version_changes)
+    return true;
+  return known && known != s
+         && (known->started_ms != s->started_ms || !server_has_version (known, a->version));
+}
+
+bool
+dispatch_names_other_version (Dispatch *d, const char *id, const char *version)
+{
+  const Server *s;
+  bool other;
+
+  pthread_mutex_lock (&d->lock);
+  s = g_hash_table_lookup (d->servers, id);
+  other = s && !server_has_version (s, version);
+  pthread_mutex_unlock (&d->lock);
+  return other;
+}
+
 AssignmentServer
 assignment_server_state (const Assignment *a)
 {
@@ -30,6 +55,7 @@
   pthread_mutex_lock (&a->dispatch->lock);
   state = (AssignmentServer){ .instance = { s->id, s->address, s->started_ms },
                               .version = a->version,
+                              .version_doubtful = version_is_doubtful (a),
                               .draining = s->draining,
                               .others_in_flight = s->in_flight - 1 };
   pthread_mutex_unlock (&a->dispatch->lock);
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -202,6 +202,7 @@
   a->expected_first_event_ms = cost_first_event_ms (s, q, &p->latency, d->prefixes, affinity);
   a->limits = limits_of_choice (c, s, q->now_ms);
   memcpy (a->version, s->version, sizeof a->version);
+  a->version_changes = s->version_changes;
   server_limit_take (&s->limit, q->now_ms);
   idle_connections_take (&s->idle_connections, q->now_ms);
   s->in_flight++;
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -114,12 +114,17 @@
 typedef struct
 {
   ServerInstance instance; /* valid as long as the assignment */
-  const char
-      *version; /* of the server's software when it was chosen; valid as long as the assignment */
+  const char *version; /* of the server's software, when it was chosen; as long as the assignment */
+  /* Since then the record has changed to another start or version of the server. It may be that this is the one that
+   * was sent the request, as records arrive late. */
+  bool version_doubtful;
   bool draining;
   int others_in_flight; /* other requests of this host */
 } AssignmentServer;
 
+/** @return whether the server with this id is known, with another version than @p version (as in AssignmentServer). */
+bool dispatch_names_other_version (Dispatch *dispatch, const char *id, const char *version);
+
 AssignmentServer assignment_server_state (const Assignment *assignment);
 const char *assignment_address (const Assignment *assignment);
 
--- a/src/dispatch/dispatch_impl.h
+++ b/src/dispatch/dispatch_impl.h
@@ -49,6 +49,7 @@
   bool closes_connection; /* the server closes the connection after the response */
   bool is_engine;         /* the server is an inference engine, which processes prompts */
   char version[SERVER_VERSION_BYTES]; /* of the server, when it was chosen */
+  uint32_t version_changes;           /* the same */
   AssignmentLimits limits;
 };
 
--- a/src/dispatch/server.c
+++ b/src/dispatch/server.c
@@ -30,14 +30,27 @@
   s->data_centre = talloc_strdup (s, r->data_centre);
   s->hash = XXH64 (r->id, strlen (r->id), 0);
   s->started_ms = r->started_ms;
+  server_version_set (s->version, r->version);
   s->latency_factor = 1.0;
   return s;
 }
 
+static void
+update_version (Server *s, const char *name)
+{
+  char version[SERVER_VERSION_BYTES];
+
+  server_version_set (version, name);
+  if (!strcmp (version, s->version))
+    return;
+  memcpy (s->version, version, sizeof version);
+  s->version_changes++;
+}
+
 void
 server_update (Server *s, const ServerRecord *r, int64_t now_ms)
 {
-  server_version_set (s->version, r->version);
+  update_version (s, r->version);
   s->slots = r->slots;
   s->draining = r->draining;
   s->warmup_until_ms = r->warmup_ms > 0 ? now_ms + r->warmup_ms : 0;
--- a/src/dispatch/server.h
+++ b/src/dispatch/server.h
@@ -33,7 +33,9 @@
   char *data_centre;
   char *region; /* NULL: unknown */
   char version[SERVER_VERSION_BYTES];
-  uint64_t hash; /* of the id, for rendezvous hashing */
+  uint32_t version_changes; /* times that the record of the same start named another version */
+  bool replaced;            /* its record was replaced by that of another start */
+  uint64_t hash;            /* of the id, for rendezvous hashing */
   ServerLocality locality;
   int slots;
   bool draining; /* by its record or by its own announcement */
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -154,6 +154,7 @@
   if (s && is_other_instance (s, r))
     {
       ended = copy_ended (NULL, s);
+      s->replaced = true;
       remove_server (d, s);
       s = NULL;
     }
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -88,6 +88,12 @@
   relay_abort (r, err->kind);
 }
 
+static bool
+may_ask_server (Relay *r, Err *err)
+{
+  return relay_check_version (r, err) && relay_check_quarantine (r, true, err);
+}
+
 void
 relay_start_attempt (Relay *r)
 {
@@ -97,9 +103,7 @@
   Assignment *assignment;
 
   fill_query (r, &query);
-  assignment = relay_check_quarantine (r, true, &err)
-                   ? dispatch_pick (r->deps->dispatch, r, &query, &err)
-                   : NULL;
+  assignment = may_ask_server (r, &err) ? dispatch_pick (r->deps->dispatch, r, &query, &err) : NULL;
   if (!assignment)
     {
       fail_placement (r, &err);
@@ -144,6 +148,7 @@
       else if (result == ASSIGNMENT_FAILED)
         result = ASSIGNMENT_UNREACHABLE;
     }
+  relay_note_source (r, a);
   assignment_end (a->assignment, result, timers_now_ms (r->deps->timers));
   a->assignment = NULL;
 }
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -21,8 +21,9 @@
  * servers of one version. */
 typedef enum
 {
-  BINDING_NONE,   /* any version may be asked: no event was forwarded */
-  BINDING_VERSION /* only Relay.bound_version */
+  BINDING_NONE,    /* any version may be asked: no event was forwarded */
+  BINDING_VERSION, /* only Relay.bound_version */
+  BINDING_UNKNOWN /* none: the records of servers do not tell what wrote the events that were forwarded */
 } VersionBinding;
 
 typedef enum
@@ -79,6 +80,8 @@
   bool write_blocked;    /* until relay_client_writable() */
   VersionBinding binding;
   char bound_version[SERVER_VERSION_BYTES];
+  char *sources[DISPATCH_MAX_TRIED]; /* ids of the servers of ended attempts that brought events */
+  size_t n_sources;
   char last_event_id[EVENT_ID_BYTES]; /* of the last event forwarded */
   int64_t events;                     /* stream events forwarded */
   Tokens delivered;                   /* output tokens that the forwarded events count as */
@@ -105,8 +108,13 @@
 void relay_require_version (Relay *r, const char *version);
 /* @return the only version that may be asked, or NULL: any. */
 const char *relay_required_version (const Relay *r);
-/* To be called before the first event of the attempt is forwarded. */
-void relay_bind_version (Relay *r, const Attempt *a);
+/* To be called before the first event of the attempt is forwarded. @return false if it must not be, because the version of
+ * its server is doubtful and the client has events of another server already. */
+bool relay_bind_version (Relay *r, const Attempt *a);
+/* The attempt ends. To be called while it has its assignment. */
+void relay_note_source (Relay *r, const Attempt *a);
+/* To be called before each attempt. @return false if the rest of the stream must not be asked for. */
+bool relay_check_version (Relay *r, Err *err);
 
 /* relay_cut.c */
 void relay_set_keys (Relay *r);
--- a/src/relay/relay_stream.c
+++ b/src/relay/relay_stream.c
@@ -118,8 +118,11 @@
     r->usage = decoded.usage;
   if (decoded.hidden)
     return true;
-  if (!a->first_event_ms)
-    relay_bind_version (r, a);
+  if (!a->first_event_ms && !relay_bind_version (r, a))
+    {
+      a->check = RESPONSE_INVALID;
+      return false;
+    }
   if (!r->response_started)
     {
       begin_response (r, a);
--- a/tests/unit/test_versions.c
+++ b/tests/unit/test_versions.c
@@ -265,6 +265,7 @@
     { "there and back", false, false, { { "v2", STARTED_MS }, { "v1", STARTED_MS } }, NOWHERE },
     { "roll back", false, false, { { "v2", 11 }, { "v1", 12 } }, NOWHERE },
     { "removed between", false, true, { { "v2", STARTED_MS + 1 } }, NOWHERE },
+    { "came back", false, true, { { "v1", STARTED_MS } }, 1 },
     { "older record", false, false, { { "v2", STARTED_MS - 1 } }, 1 },
   };
   static const OtherServer OTHERS[MAX_OTHERS] = { { "v1", READY } };
