tests: bind a request to a version before its first attempt

The half of the fault that remains needs it: a request that takes up a stream of another request is to be placed at the version that began it, or refused. relay_require_version() does so between the start of a relay and its first attempt; the fixture can set it, and a test holds that neither the first attempt nor one after a failure before the first event goes to another version.

--- a/tests/unit/relay_fixture.c
+++ b/tests/unit/relay_fixture.c
@@ -5,7 +5,9 @@
 
 #include <talloc.h>
 
+#include "harness.h"
 #include "platform/platform_dialect.h"
+#include "relay/relay_impl.h"
 
 #define ACCOUNT "klubbarna"
 #define SERVERS 3
@@ -188,6 +190,11 @@
 {
   f->relay = relay_new (&f->deps, talloc_new (NULL), &f->request, timers_now_ms (f->deps.timers),
                         &CLIENT_OPS, f);
+  if (f->relay && f->required_version)
+    {
+      CU_ASSERT_EQUAL (f->backend->n_calls, 0);
+      relay_require_version (f->relay, f->required_version);
+    }
   relay_fixture_run (f, 100);
 }
 
--- a/tests/unit/relay_fixture.h
+++ b/tests/unit/relay_fixture.h
@@ -20,8 +20,9 @@
   const CatalogService *service;
   RelayDeps deps;
   BufferQuota response_quota;
-  RelayRequest request; /* may be changed before relay_fixture_start() */
-  Relay *relay;         /* NULL once it has finished */
+  RelayRequest request;         /* may be changed before relay_fixture_start() */
+  const char *required_version; /* set by the test: only servers of it may be asked; NULL: of any */
+  Relay *relay;                 /* NULL once it has finished */
 
   /* What the client received. */
   int n_responses; /* complete responses and started streams */
--- a/tests/unit/test_versions.c
+++ b/tests/unit/test_versions.c
@@ -234,6 +234,28 @@
     }
 }
 
+/* Guards against a stream that a client takes up and that is asked from a version that did not begin it, at first or after
+ * a failure before its first event. */
+static void
+stream_that_is_taken_up_is_placed_at_the_required_version_only (void)
+{
+  static const OtherServer OTHERS[MAX_OTHERS]
+      = { { "v1", READY }, { "v2", READY }, { "v3", READY } };
+  RelayFixture *f = relay_fixture_new (CALL_STREAM);
+
+  f->request.resumable = true;
+  f->request.repeatable = true;
+  f->required_version = "v2";
+  publish_others (f, OTHERS);
+  relay_fixture_start (f);
+  CU_ASSERT_EQUAL (server_of_rest (f), 2);
+  break_off (f);
+  CU_ASSERT_EQUAL (f->backend->n_calls, 1);
+  CU_ASSERT_PTR_NULL (f->relay);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f->body, "version_gone"));
+  relay_fixture_free (f);
+}
+
 /* --- Records that change ----------------------------------------------------------------- */
 
 typedef struct
@@ -359,6 +381,8 @@
       stream_without_an_event_goes_on_at_any_version },
     { "stream_stays_at_its_version_over_several_breaks",
       stream_stays_at_its_version_over_several_breaks },
+    { "stream_that_is_taken_up_is_placed_at_the_required_version_only",
+      stream_that_is_taken_up_is_placed_at_the_required_version_only },
     { "stream_of_a_replaced_server_is_not_resumed", stream_of_a_replaced_server_is_not_resumed },
     { "record_that_changes_after_the_attempt_counts_at_the_next_break",
       record_that_changes_after_the_attempt_counts_at_the_next_break },
