--- a/src/dispatch/server_version.c
+++ b/src/dispatch/server_version.c
@@ -23,3 +23,12 @@
   snprintf (out, SERVER_VERSION_BYTES, "sha256:%s", sum);
   g_free (sum);
 }
+
+bool
+server_versions_contain (const ServerVersions *versions, const char *name)
+{
+  for (size_t i = 0; i < versions->n; i++)
+    if (!strcmp (versions->names[i], name))
+      return true;
+  return false;
+}
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -391,3 +391,13 @@
 
   return row ? row->value : NULL;
 }
+
+size_t
+fake_store_count (FakeStore *s, const char *table, const char *partition)
+{
+  GPtrArray *rows = row_table_range (s->rows, table, partition, NULL);
+  size_t n = rows->len;
+
+  g_ptr_array_free (rows, TRUE);
+  return n;
+}
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -57,5 +57,7 @@
 /** Writes a row, or deletes it if @p value is NULL, without a client. */
 void fake_store_put (FakeStore *store, const StoreKey *key, const char *value);
 
+size_t fake_store_count (FakeStore *store, const char *table, const char *partition);
+
 /** @return the value of a row, or NULL if it does not exist. */
 const char *fake_store_value (FakeStore *store, const StoreKey *key);
