relay: take streams up only at the version that began them

What callers saw: a stream that was taken up over a second request went on at a server of another software version, with nothing in the answer to show it.

Cause: nothing read `Resumes`, and no host knew what another one, or its own earlier process, had begun.

Change: a take-up asks streams/ and is bound to the version that began the stream. One whose version is not known is refused with 503 version_unknown (not run); while the store can't be read, with 503 platform_unavailable and Retry-After 0.3 s. New streams that may be resumed begin only at versions that the service's row lists. A retry before the first event stays at its version once a row with it was written.

--- a/src/dispatch/assignments.c
+++ b/src/dispatch/assignments.c
@@ -30,7 +30,7 @@
   if (s->replaced || s->version_changes != a->version_changes)
     return true;
   return known && known != s
-         && (known->started_ms != s->started_ms || !server_has_version (known, a->version));
+         && (known->started_ms != s->started_ms || !server_has_version (known, a->version, NULL));
 }
 
 bool
@@ -41,7 +41,7 @@
 
   pthread_mutex_lock (&d->lock);
   s = g_hash_table_lookup (d->servers, id);
-  other = s && !server_has_version (s, version);
+  other = s && !server_has_version (s, version, NULL);
   pthread_mutex_unlock (&d->lock);
   return other;
 }
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -128,7 +128,7 @@
       LimitState limit;
       double cost;
 
-      if (s->draining || !server_has_version (s, q->version) || was_tried (s, q))
+      if (s->draining || !server_has_version (s, q->version, q->allowed) || was_tried (s, q))
         continue;
       c->eligible++;
       if (q->now_ms < s->pause_until_ms)
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -94,6 +94,7 @@
   int64_t now_ms;
   bool is_retry;       /* not the first attempt of the request: counts against the retry limits */
   const char *version; /* only servers of this version, as in AssignmentServer; NULL: of any */
+  const ServerVersions *allowed; /* only servers of these; NULL: of any */
   Tokens prompt_tokens;
   Tokens max_tokens; /* of the response */
   const PromptPart *parts;
--- a/src/dispatch/server.c
+++ b/src/dispatch/server.c
@@ -118,9 +118,11 @@
 }
 
 bool
-server_has_version (const Server *s, const char *version)
+server_has_version (const Server *s, const char *version, const ServerVersions *allowed)
 {
-  return !version || !strcmp (s->version, version);
+  if (version && strcmp (s->version, version) != 0)
+    return false;
+  return !allowed || server_versions_contain (allowed, s->version);
 }
 
 bool
--- a/src/dispatch/server.h
+++ b/src/dispatch/server.h
@@ -94,8 +94,8 @@
 /** The server has asked for no requests for @p ms. An earlier pause is never shortened. */
 void server_pause (Server *server, int64_t ms, int64_t now_ms);
 
-/** @return whether the server is of this version, or @p version is NULL. */
-bool server_has_version (const Server *server, const char *version);
+/** @return whether the server is of this version and it is allowed. NULL for either: any version. */
+bool server_has_version (const Server *server, const char *version, const ServerVersions *allowed);
 
 /** @return whether the server may get new requests: neither draining nor removed, in backoff or paused. */
 bool server_is_usable (const Server *server, int64_t now_ms);
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -65,6 +65,7 @@
                                 .backend = backend_http_new (w, w->client, o->connect_timeout_ms),
                                 .dispatch = o->dispatch,
                                 .quarantine = o->quarantine,
+                                .streams = o->streams,
                                 .budgets = o->budgets,
                                 .dialect = o->dialect,
                                 .max_response_bytes = o->max_response_bytes,
--- a/src/entry/frontend.h
+++ b/src/entry/frontend.h
@@ -24,6 +24,7 @@
   CurrentCatalog *catalog;
   Dispatch *dispatch;
   Quarantine *quarantine;
+  Streams *streams;
   Budgets *budgets;
   Dialect *dialect;
 } FrontendOptions;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -136,6 +136,7 @@
 
   h->catalog = current_catalog_new (h);
   host_make_quarantine (h);
+  host_make_streams (h);
   h->dispatch = dispatch_new (h, &dispatch);
   h->budgets = budgets_new (h, &budgets);
 }
@@ -158,6 +159,7 @@
                               .catalog = h->catalog,
                               .dispatch = h->dispatch,
                               .quarantine = h->quarantine,
+                              .streams = h->streams,
                               .budgets = h->budgets };
 
   options.dialect = s->platform_interface ? platform_dialect ()
@@ -225,6 +227,7 @@
                                .changed = host_on_hosts_changed,
                                .data = h };
 
+  host_keep_stream_rows (h);
   h->config_source = s->platform_interface ? platform_config_source_new (h, &source)
                                            : ticket_source_new (h, &source);
   h->registry = registry_new (h, &registry);
@@ -242,6 +245,7 @@
   TALLOC_FREE (h->config_source);
   TALLOC_FREE (h->registry);
   TALLOC_FREE (h->quarantine_rows);
+  TALLOC_FREE (h->stream_rows);
   TALLOC_FREE (h->budgets);
   TALLOC_FREE (h->peers);
   TALLOC_FREE (h->store);
--- a/src/host/host_impl.h
+++ b/src/host/host_impl.h
@@ -15,6 +15,7 @@
 #include "operator/operator_server.h"
 #include "peer/peer_tcp.h"
 #include "quarantine/quarantine_rows.h"
+#include "streams/stream_rows.h"
 
 struct Host
 {
@@ -31,6 +32,8 @@
   Dispatch *dispatch;
   Quarantine *quarantine;
   QuarantineRows *quarantine_rows;
+  Streams *streams;
+  StreamRows *stream_rows;
   Budgets *budgets;
   Frontend *frontend;
   ReadinessServer *readiness_server;
@@ -86,6 +89,11 @@
 /* @return false if the message is not about the quarantine. */
 bool host_on_quarantine_message (Host *h, const Pond__Envelope *envelope);
 
+/* host_streams.c: which software version began a stream. */
+void host_make_streams (Host *h);
+/* Starts to read and write the rows of the store. */
+void host_keep_stream_rows (Host *h);
+
 /* host_rotation.c: whether this host is in the load balancer's rotation, and whether it accepts new connections.
  * Both depend on the load of its network link. */
 void host_init_rotation_and_gate (Host *h);
--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -80,6 +80,7 @@
                                host_region_of (h, hosts[i].data_centre) };
   dispatch_set_hosts (h->dispatch, sharing, n, registry_silent_hosts (h->registry));
   quarantine_set_hosts (h->quarantine, (int)n);
+  streams_set_hosts (h->streams, (int)n);
   config_source_set_host_count (h->config_source, (int)n);
   budgets_set_hosts (h->budgets, candidates, n_candidates);
   talloc_free (candidates);
--- a/src/host/host_servers.c
+++ b/src/host/host_servers.c
@@ -7,6 +7,8 @@
 {
   Host *h = data;
 
+  streams_server_changed (h->streams, record->id, record->service, record->version,
+                          host_now_ms (h));
   dispatch_server_changed (h->dispatch, record, host_now_ms (h));
 }
 
@@ -15,6 +17,7 @@
 {
   Host *h = data;
 
+  streams_server_removed (h->streams, id, confirmed, host_now_ms (h));
   dispatch_server_removed (h->dispatch, id, confirmed, host_now_ms (h));
 }
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -22,7 +22,10 @@
       relay_abort (r, ERR_DEADLINE_EXCEEDED);
       return;
     }
-  if (r->state == RELAY_RESERVING)
+  if (r->lookup)
+    err_set (&err, ERR_PLATFORM_UNAVAILABLE,
+             "the time ended while the store was asked for the version of the stream");
+  else if (r->state == RELAY_RESERVING)
     err_set (&err, ERR_BUDGET_UNREACHABLE, "the time ended while the budget was asked");
   else
     err_set (&err, ERR_DEADLINE_EXCEEDED, "the time ended while server %s had the request",
@@ -67,8 +70,8 @@
     relay_start_attempt (r);
 }
 
-static void
-reserve_budget (Relay *r)
+void
+relay_reserve_budget (Relay *r)
 {
   const RelayRequest *q = r->request;
   ReserveRequest request = { .account = q->account,
@@ -127,7 +130,7 @@
   relay_set_keys (r);
   r->deadline = timers_start (deps->timers, r, r->deadline_ms - now, on_deadline, r);
   r->starting = true;
-  reserve_budget (r);
+  relay_find_version (r);
   r->starting = false;
   if (r->state != RELAY_FINISHED)
     return r;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -11,6 +11,7 @@
 #include "relay/buffer_quota.h"
 #include "relay/dialect.h"
 #include "relay/relay_request.h"
+#include "streams/streams.h"
 
 typedef struct Relay Relay;
 
@@ -41,6 +42,8 @@
   Backend *backend;
   Dispatch *dispatch;
   Quarantine *quarantine;
+  Streams *
+      streams; /* NULL: what begins a stream is not recorded, and taken up streams go to any server */
   Budgets *budgets;
   Dialect *dialect;
   size_t max_response_bytes;   /* limit of a response that is not streamed */
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -22,14 +22,16 @@
 /* --- Start ------------------------------------------------------------------------------- */
 
 static void
-fill_query (const Relay *r, DispatchQuery *q)
+fill_query (Relay *r, DispatchQuery *q, ServerVersions *versions)
 {
   const RelayRequest *request = r->request;
+  const ServerVersions *allowed = relay_allowed_versions (r, versions);
 
   *q = (DispatchQuery){ .service = request->service,
                         .now_ms = timers_now_ms (r->deps->timers),
                         .is_retry = r->sends > 0,
                         .version = relay_required_version (r),
+                        .allowed = allowed,
                         .prompt_tokens = request->prompt_tokens,
                         .max_tokens = request->max_tokens,
                         .parts = request->parts,
@@ -98,12 +100,17 @@
 relay_start_attempt (Relay *r)
 {
   DispatchQuery query;
+  ServerVersions versions;
   Attempt *a;
   Err err = ERR_INIT;
   Assignment *assignment;
 
-  fill_query (r, &query);
-  assignment = may_ask_server (r, &err) ? dispatch_pick (r->deps->dispatch, r, &query, &err) : NULL;
+  assignment = NULL;
+  if (may_ask_server (r, &err))
+    {
+      fill_query (r, &query, &versions);
+      assignment = dispatch_pick (r->deps->dispatch, r, &query, &err);
+    }
   if (!assignment)
     {
       fail_placement (r, &err);
@@ -122,6 +129,7 @@
   snprintf (r->server, sizeof r->server, "%s", assignment_server (assignment));
   r->limits = assignment_limits (assignment);
   log_word (r->version, sizeof r->version, assignment_server_state (assignment).version);
+  relay_record_version (r, assignment);
   a->call = send_request (r, a);
   if (!a->call)
     fail_attempt (r, a, FAIL_BEFORE_CONNECT, ERR_CONNECT_FAILED);
--- a/src/relay/relay_finish.c
+++ b/src/relay/relay_finish.c
@@ -113,6 +113,7 @@
   const RelayClientOps *client = r->client;
 
   TALLOC_FREE (r->deadline);
+  TALLOC_FREE (r->lookup);
   settle (r);
   log_end (r);
   r->state = RELAY_FINISHED;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -12,7 +12,7 @@
 
 typedef enum
 {
-  RELAY_RESERVING, /* waits for the budget reservation */
+  RELAY_RESERVING, /* waits for the version of its stream or the budget reservation */
   RELAY_SENT,      /* an attempt was started */
   RELAY_FINISHED
 } RelayState;
@@ -65,6 +65,7 @@
   int64_t received_ms;
   int64_t deadline_ms;
   Timer *deadline;
+  StreamLookup *lookup; /* NULL: does not wait for the version of its stream */
   Reservation *reservation;
   Tokens reserved;
   Charge charge;        /* set by the settlement */
@@ -80,6 +81,7 @@
   bool write_blocked;    /* until relay_client_writable() */
   VersionBinding binding;
   char bound_version[SERVER_VERSION_BYTES];
+  char recorded_version[SERVER_VERSION_BYTES]; /* empty: none was recorded */
   char *sources[DISPATCH_MAX_TRIED]; /* ids of the servers of ended attempts that brought events */
   size_t n_sources;
   char last_event_id[EVENT_ID_BYTES]; /* of the last event forwarded */
@@ -97,6 +99,9 @@
   int status;     /* of the response to the client; 0 until it is known */
 };
 
+/* relay.c */
+void relay_reserve_budget (Relay *r);
+
 /* relay_attempt.c */
 extern const BackendEvents relay_backend_events;
 void relay_start_attempt (Relay *r);
@@ -116,6 +121,17 @@
 /* To be called before each attempt. @return false if the rest of the stream must not be asked for. */
 bool relay_check_version (Relay *r, Err *err);
 
+/* relay_resume.c: over the tries of a client. */
+/* Finds the version that began the stream that the client takes up, if it does, and goes on to the budget. */
+void relay_find_version (Relay *r);
+/* To be called before a server is chosen; may require a version. @return the versions that may be used, in @p versions,
+ * or NULL: any. */
+const ServerVersions *relay_allowed_versions (Relay *r, ServerVersions *versions);
+/* To be called before the request is sent to the server. */
+void relay_record_version (Relay *r, const Assignment *assignment);
+/* The records of servers do not tell what wrote the events that were forwarded. */
+void relay_doubt_version (Relay *r);
+
 /* relay_cut.c */
 void relay_set_keys (Relay *r);
 /* @param is_sent false: before its budget is reserved. @return whether the request may be sent to a server. */
--- a/src/relay/relay_version.c
+++ b/src/relay/relay_version.c
@@ -29,7 +29,7 @@
     return false;
   if (server.version_doubtful)
     {
-      r->binding = BINDING_UNKNOWN;
+      relay_doubt_version (r);
       return true;
     }
   if (r->binding == BINDING_NONE)
@@ -48,7 +48,7 @@
     return;
   server = assignment_server_state (a->assignment);
   if (server.version_doubtful || r->n_sources == DISPATCH_MAX_TRIED)
-    r->binding = BINDING_UNKNOWN;
+    relay_doubt_version (r);
   else
     r->sources[r->n_sources++] = talloc_strdup (r, server.instance.id);
 }
@@ -68,7 +68,7 @@
 relay_check_version (Relay *r, Err *err)
 {
   if (r->binding == BINDING_VERSION && source_is_doubtful (r))
-    r->binding = BINDING_UNKNOWN;
+    relay_doubt_version (r);
   return r->binding != BINDING_UNKNOWN
          || err_set (err, ERR_VERSION_UNKNOWN,
                      "the record of a server changed to another start or version under the stream");
