streams: check versions once a second, refuse unknown streams without Retry-After

A client that was told to come back for a stream whose version is not known would only be refused again; it has to begin anew. test_resume: 7 cases of what a client is told, and what servers are sent.

--- a/src/relay/relay_finish.c
+++ b/src/relay/relay_finish.c
@@ -214,7 +214,8 @@
   relay_end_attempt (r, ASSIGNMENT_FAILED);
   r->reason = err->kind;
   r->status = error_status (err, r->runs > 0);
-  if (r->status == 503 && response.retry_after_ms == 0)
+  /* A stream whose version is unknown has to begin anew: waiting doesn't help. */
+  if (r->status == 503 && response.retry_after_ms == 0 && err->kind != ERR_VERSION_UNKNOWN)
     response.retry_after_ms = DEFAULT_RETRY_AFTER_MS;
   counter_add_refusal (err->kind);
   log_event (LOG_LEVEL_NOTICE, "relay", "failed",
--- a/src/streams/stream_table.c
+++ b/src/streams/stream_table.c
@@ -291,6 +291,7 @@
   g_byte_array_append (out, entries->data, entries->len);
   t->changed = false;
   *len = out->len;
+  append_number (out, 0, 1);
   copy = talloc_memdup (ctx, out->data, out->len);
   g_byte_array_free (entries, TRUE);
   g_byte_array_free (out, TRUE);
--- a/src/streams/stream_table.h
+++ b/src/streams/stream_table.h
@@ -66,7 +66,7 @@
 int64_t stream_table_dropped (const StreamTable *table);
 
 /** Encodes the row. Its streams count as written from now on. @p store_ahead_ms is what the store's clock is ahead of
- * the host's. @return @p len bytes, a talloc object under @p ctx. */
+ * the host's. @return @p len bytes and a NUL, a talloc object under @p ctx. */
 char *stream_table_encode (StreamTable *table, const void *ctx, int64_t store_ahead_ms,
                            size_t *len);
 
--- a/src/streams/streams.h
+++ b/src/streams/streams.h
@@ -100,7 +100,7 @@
 /** Unless it is @p confirmed, the record may come back. */
 void streams_server_removed (Streams *streams, const char *id, bool confirmed, int64_t now_ms);
 
-/** Called often: forgets what is out of date, and finds versions that appear or are gone. */
+/** Called often: forgets what is out of date, and finds versions that are gone. */
 void streams_tick (Streams *streams, int64_t now_ms);
 
 /** Before a read of all rows. @return false if none is due. */
--- a/src/streams/streams_impl.h
+++ b/src/streams/streams_impl.h
@@ -80,6 +80,7 @@
   int64_t store_ahead_ms; /* of the host's clock */
   int64_t store_era;
   int64_t next_record_write_ms;
+  int64_t next_check_ms;
 };
 
 /* streams_versions.c: the lock is held. */
--- a/src/streams/streams_versions.c
+++ b/src/streams/streams_versions.c
@@ -8,6 +8,9 @@
 #include "core/log.h"
 #include "streams/streams_impl.h"
 
+/* Between checks for what is out of date. New versions of servers are found at once. */
+#define CHECK_MS 1000
+
 /* A version whose servers have not been in the list for this long is gone. */
 #define GONE_AFTER_MS 10000
 
@@ -115,6 +118,12 @@
   gpointer service;
 
   pthread_mutex_lock (&s->lock);
+  if (now_ms < s->next_check_ms)
+    {
+      pthread_mutex_unlock (&s->lock);
+      return;
+    }
+  s->next_check_ms = now_ms + CHECK_MS;
   stream_table_expire (s->table, now_ms);
   g_hash_table_foreach_remove (s->servers, removal_is_over, &now_ms);
   g_hash_table_iter_init (&iter, s->services);
