--- a/tests/unit/test_streams.c
+++ b/tests/unit/test_streams.c
@@ -1,4 +1,6 @@
 /* Which software version began a stream: the rows of the store and what hosts conclude from them. */
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -619,6 +621,154 @@
   fixture_free (f);
 }
 
+/* --- Threads ----------------------------------------------------------------------------- */
+
+#define N_WORKERS      3
+#define N_TAKE_UPS     2000
+#define MAX_POSTED     64
+#define WORKER_SERVICE "engine"
+
+/* A worker's thread with the calls that were posted to it. */
+typedef struct
+{
+  pthread_t thread;
+  pthread_mutex_t lock;
+  LoopFn fns[MAX_POSTED];
+  void *data[MAX_POSTED];
+  size_t n;
+  Streams *streams;
+  int number;
+  int answers;
+} Worker;
+
+static atomic_int workers_running;
+
+static void
+post_to_worker (void *target, LoopFn fn, void *data)
+{
+  Worker *w = target;
+
+  pthread_mutex_lock (&w->lock);
+  w->fns[w->n] = fn;
+  w->data[w->n++] = data;
+  pthread_mutex_unlock (&w->lock);
+}
+
+static void
+run_posted (Worker *w)
+{
+  LoopFn fns[MAX_POSTED];
+  void *data[MAX_POSTED];
+  size_t n;
+
+  pthread_mutex_lock (&w->lock);
+  n = w->n;
+  memcpy (fns, w->fns, sizeof fns);
+  memcpy (data, w->data, sizeof data);
+  w->n = 0;
+  pthread_mutex_unlock (&w->lock);
+  for (size_t i = 0; i < n; i++)
+    fns[i](data[i]);
+}
+
+static void
+on_worker_answer (void *data, const StreamAnswer *answer)
+{
+  Worker *w = data;
+
+  w->answers += answer->outcome == STREAM_KNOWN;
+}
+
+static void
+take_up (Worker *w, int i)
+{
+  StreamQuery query = { .service = WORKER_SERVICE,
+                        .key = (StreamKey)(1000000 + i % 7),
+                        .executor = { post_to_worker, w },
+                        .fn = on_worker_answer,
+                        .data = w };
+  StreamAnswer answer;
+  StreamLookup *lookup = streams_look_up (w->streams, NULL, &query, &answer);
+
+  /* Every third client leaves. */
+  for (int before = w->answers; lookup && i % 3 && w->answers == before;)
+    run_posted (w);
+  talloc_free (lookup);
+}
+
+static void *
+run_worker (void *data)
+{
+  Worker *w = data;
+
+  for (int i = 0; i < N_TAKE_UPS; i++)
+    {
+      ServerVersions versions;
+      StreamBegin b = { .key = (StreamKey)(w->number * N_TAKE_UPS + i + 1),
+                        .server = "i-1",
+                        .version = "v1",
+                        .until_ms = i + 100 };
+
+      streams_allowed (w->streams, WORKER_SERVICE, &versions, i);
+      streams_begin (w->streams, &b, i);
+      streams_withdraw (w->streams, b.key);
+      take_up (w, i);
+      run_posted (w);
+    }
+  atomic_fetch_sub (&workers_running, 1);
+  return NULL;
+}
+
+static void
+read_once (Streams *s, int64_t now)
+{
+  static const char ROW[]
+      = "{\"versions\":[{\"name\":\"v1\",\"gone_ms\":0}],\"era\":1,\"unsure_until_ms\":0}";
+
+  if (!streams_read_begin (s, now))
+    return;
+  streams_read_at (s, (StreamsStoreTime){ now, 1 }, now);
+  streams_read_versions_row (s, WORKER_SERVICE, ROW, strlen (ROW), 1);
+  streams_read_end (s, true, now);
+}
+
+/* Guards against threads that share the tables without the lock, and answers to clients that have left (run by the thread
+ * sanitizer). */
+static void
+workers_and_the_control_loop_share_the_tables (void)
+{
+  StreamsOptions options = { .seed = 3 };
+  Streams *s = streams_new (NULL, &options);
+  Worker workers[N_WORKERS] = { 0 };
+  int64_t now = 0;
+
+  atomic_store (&workers_running, N_WORKERS);
+  for (int i = 0; i < N_WORKERS; i++)
+    {
+      workers[i] = (Worker){ .streams = s, .number = i };
+      pthread_mutex_init (&workers[i].lock, NULL);
+      pthread_create (&workers[i].thread, NULL, run_worker, &workers[i]);
+    }
+  for (; atomic_load (&workers_running) > 0; now++)
+    {
+      char *row;
+      size_t len;
+
+      read_once (s, now);
+      streams_tick (s, now);
+      row = streams_next_record_write (s, NULL, now, &len);
+      talloc_free (row);
+    }
+  for (int i = 0; i < N_WORKERS; i++)
+    {
+      pthread_join (workers[i].thread, NULL);
+      run_posted (&workers[i]);
+      CU_ASSERT (workers[i].answers >= N_TAKE_UPS / 3);
+      pthread_mutex_destroy (&workers[i].lock);
+    }
+  talloc_free (s);
+}
+
 int
 main (void)
 {
@@ -644,6 +794,8 @@
     { "hosts_that_disagree_leave_a_stream_unknown", hosts_that_disagree_leave_a_stream_unknown },
     { "questions_share_reads", questions_share_reads },
     { "rows_of_ended_hosts_are_removed", rows_of_ended_hosts_are_removed },
+    { "workers_and_the_control_loop_share_the_tables",
+      workers_and_the_control_loop_share_the_tables },
   };
 
   return harness_run ("streams", CASES, sizeof CASES / sizeof CASES[0]);
