--- a/src/streams/streams.c
+++ b/src/streams/streams.c
@@ -31,6 +31,8 @@
   pthread_mutex_init (&s->lock, NULL);
   rng_seed (&s->rng, options->seed);
   s->table = stream_table_new (s);
+  s->dropped = gauge_get ("pond_streams_forgotten", "",
+                          "Streams forgotten before their time, for want of room.");
   s->services = g_hash_table_new (g_str_hash, g_str_equal);
   s->servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, server_free);
   s->by_key = g_hash_table_new (g_int64_hash, g_int64_equal);
--- a/src/streams/streams_impl.h
+++ b/src/streams/streams_impl.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "core/counter.h"
 #include "core/list.h"
 #include "core/rng.h"
 #include "streams/streams.h"
@@ -68,6 +69,7 @@
   Rng rng;
   int hosts;
   StreamTable *table;
+  Counter *dropped; /* stream_table_dropped() */
   GHashTable *services;
   GHashTable *servers; /* StreamServer by id */
   List waiting;        /* lookups that came after the read in progress began */
--- a/src/streams/streams_read.c
+++ b/src/streams/streams_read.c
@@ -67,7 +67,7 @@
 streams_read_at (Streams *s, StreamsStoreTime store, int64_t now_ms)
 {
   pthread_mutex_lock (&s->lock);
-  s->store_ahead_ms = store.time_ms - now_ms;
+  s->store_ahead_ms = store.time_ms > 0 ? store.time_ms - now_ms : 0;
   s->store_era = store.era > 1 ? store.era : 1;
   pthread_mutex_unlock (&s->lock);
 }
--- a/src/streams/streams_versions.c
+++ b/src/streams/streams_versions.c
@@ -4,6 +4,7 @@
 
 #include <talloc.h>
 
+#include "core/counter.h"
 #include "core/invariant.h"
 #include "core/log.h"
 #include "streams/streams_impl.h"
@@ -124,6 +125,7 @@
       return;
     }
   s->next_check_ms = now_ms + CHECK_MS;
+  counter_set (s->dropped, stream_table_dropped (s->table));
   stream_table_expire (s->table, now_ms);
   g_hash_table_foreach_remove (s->servers, removal_is_over, &now_ms);
   g_hash_table_iter_init (&iter, s->services);
