--- a/tests/unit/test_resume.c
+++ b/tests/unit/test_resume.c
@@ -195,6 +195,42 @@
   fixture_free (f);
 }
 
+/* Guards against a row in which a stream has a version that it was moved away from before its first event. */
+static void
+retry_stays_at_a_version_that_other_hosts_may_have_read (void)
+{
+  for (int written = 0; written < 2; written++)
+    {
+      Fixture *f = fixture_new (NULL, NULL);
+      RelayFixture *r = f->relay;
+      StreamKey key = stream_key (r->request.account, r->service->name, r->request.id);
+      size_t len;
+
+      streams_server_changed (f->streams, "server-0", r->service->name, "v1", now_ms (f));
+      read_rows (f, TWO_VERSIONS);
+      relay_fixture_publish (r, 1, "v2", 10, true);
+      relay_fixture_publish (r, 2, "v2", 10, true);
+      relay_fixture_start (r);
+      CU_ASSERT_STRING_EQUAL (relay_fixture_last_call (r)->address, "server-0");
+      relay_fixture_publish (r, 1, "v2", 10, false);
+      relay_fixture_publish (r, 2, "v2", 10, false);
+      if (written)
+        talloc_free (streams_next_record_write (f->streams, f, now_ms (f), &len));
+      fake_backend_fail (relay_fixture_last_call (r), FAIL_NO_RESPONSE);
+      CU_ASSERT_EQUAL (r->backend->n_calls, written ? 1 : 2);
+      CU_ASSERT_EQUAL (r->relay == NULL, written);
+      if (!written)
+        {
+          StreamQuery query = { .service = r->service->name, .key = key };
+          StreamAnswer answer;
+
+          CU_ASSERT_PTR_NULL (streams_look_up (f->streams, f, &query, &answer));
+          CU_ASSERT_STRING_EQUAL (answer.version, "v2");
+        }
+      fixture_free (f);
+    }
+}
+
 int
 main (void)
 {
@@ -209,6 +245,8 @@
     { "known_stream_goes_to_its_version_only", known_stream_goes_to_its_version_only },
     { "new_stream_begins_at_listed_versions_only", new_stream_begins_at_listed_versions_only },
     { "new_stream_waits_for_the_row", new_stream_waits_for_the_row },
+    { "retry_stays_at_a_version_that_other_hosts_may_have_read",
+      retry_stays_at_a_version_that_other_hosts_may_have_read },
   };
 
   return harness_run ("resume", CASES, sizeof CASES / sizeof CASES[0]);
