--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -15,6 +15,7 @@
 #include "dispatch/limit_statement.h"
 #include "dispatch/retry_budget.h"
 #include "dispatch/server_record.h"
+#include "dispatch/server_version.h"
 
 typedef struct Dispatch Dispatch;
 typedef struct Assignment Assignment;
@@ -91,7 +92,9 @@
 {
   const CatalogService *service;
   int64_t now_ms;
-  bool is_retry; /* not the first attempt of the request: counts against the retry limits */
+  bool is_retry;       /* not the first attempt of the request: counts against the retry limits */
+  const char *version; /* only servers of this version, as in AssignmentServer; NULL: of any */
+  const ServerVersions *allowed; /* only servers of these; NULL: of any */
   Tokens prompt_tokens;
   Tokens max_tokens; /* of the response */
   const PromptPart *parts;
@@ -102,8 +105,8 @@
 
 /** Chooses a server and counts the request as in flight there until assignment_end(). The only place that takes
  * from the limits of servers.
- * @return a talloc object under @p ctx, or NULL with ERR_NO_SERVER, ERR_OVERLOADED, ERR_SERVER_LIMITS or
- * ERR_RETRIES_EXHAUSTED. */
+ * @return a talloc object under @p ctx, or NULL with ERR_NO_SERVER, ERR_VERSION_GONE, ERR_OVERLOADED, ERR_SERVER_LIMITS
+ * or ERR_RETRIES_EXHAUSTED. */
 Assignment *dispatch_pick (Dispatch *dispatch, const void *ctx, const DispatchQuery *query,
                            Err *err);
 
@@ -112,10 +115,17 @@
 typedef struct
 {
   ServerInstance instance; /* valid as long as the assignment */
+  const char *version; /* of the server's software, when it was chosen; as long as the assignment */
+  /* Since then the record has changed to another start or version of the server. It may be that this is the one that
+   * was sent the request, as records arrive late. */
+  bool version_doubtful;
   bool draining;
   int others_in_flight; /* other requests of this host */
 } AssignmentServer;
 
+/** @return whether the server with this id is known, with another version than @p version (as in AssignmentServer). */
+bool dispatch_names_other_version (Dispatch *dispatch, const char *id, const char *version);
+
 AssignmentServer assignment_server_state (const Assignment *assignment);
 const char *assignment_address (const Assignment *assignment);
 
--- a/src/dispatch/server.c
+++ b/src/dispatch/server.c
@@ -30,13 +30,27 @@
   s->data_centre = talloc_strdup (s, r->data_centre);
   s->hash = XXH64 (r->id, strlen (r->id), 0);
   s->started_ms = r->started_ms;
+  server_version_set (s->version, r->version);
   s->latency_factor = 1.0;
   return s;
 }
 
+static void
+update_version (Server *s, const char *name)
+{
+  char version[SERVER_VERSION_BYTES];
+
+  server_version_set (version, name);
+  if (!strcmp (version, s->version))
+    return;
+  memcpy (s->version, version, sizeof version);
+  s->version_changes++;
+}
+
 void
 server_update (Server *s, const ServerRecord *r, int64_t now_ms)
 {
+  update_version (s, r->version);
   s->slots = r->slots;
   s->draining = r->draining;
   s->warmup_until_ms = r->warmup_ms > 0 ? now_ms + r->warmup_ms : 0;
@@ -103,6 +117,14 @@
     s->pause_until_ms = now_ms + ms;
 }
 
+bool
+server_has_version (const Server *s, const char *version, const ServerVersions *allowed)
+{
+  if (version && strcmp (s->version, version) != 0)
+    return false;
+  return !allowed || server_versions_contain (allowed, s->version);
+}
+
 bool
 server_is_usable (const Server *s, int64_t now_ms)
 {
--- a/src/dispatch/server.h
+++ b/src/dispatch/server.h
@@ -12,6 +12,7 @@
 #include "dispatch/idle_connections.h"
 #include "dispatch/server_limit.h"
 #include "dispatch/server_record.h"
+#include "dispatch/server_version.h"
 
 /** The distance of a server from this host. */
 typedef enum
@@ -30,8 +31,11 @@
   char *service;
   char *address;
   char *data_centre;
-  char *region;  /* NULL: unknown */
-  uint64_t hash; /* of the id, for rendezvous hashing */
+  char *region; /* NULL: unknown */
+  char version[SERVER_VERSION_BYTES];
+  uint32_t version_changes; /* times that the record of the same start named another version */
+  bool replaced;            /* its record was replaced by that of another start */
+  uint64_t hash;            /* of the id, for rendezvous hashing */
   ServerLocality locality;
   int slots;
   bool draining; /* by its record or by its own announcement */
@@ -90,5 +94,8 @@
 /** The server has asked for no requests for @p ms. An earlier pause is never shortened. */
 void server_pause (Server *server, int64_t ms, int64_t now_ms);
 
+/** @return whether the server is of this version and it is allowed. NULL for either: any version. */
+bool server_has_version (const Server *server, const char *version, const ServerVersions *allowed);
+
 /** @return whether the server may get new requests: neither draining nor removed, in backoff or paused. */
 bool server_is_usable (const Server *server, int64_t now_ms);
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -22,13 +22,16 @@
 /* --- Start ------------------------------------------------------------------------------- */
 
 static void
-fill_query (const Relay *r, DispatchQuery *q)
+fill_query (Relay *r, DispatchQuery *q, ServerVersions *versions)
 {
   const RelayRequest *request = r->request;
+  const ServerVersions *allowed = relay_allowed_versions (r, versions);
 
   *q = (DispatchQuery){ .service = request->service,
                         .now_ms = timers_now_ms (r->deps->timers),
                         .is_retry = r->sends > 0,
+                        .version = relay_required_version (r),
+                        .allowed = allowed,
                         .prompt_tokens = request->prompt_tokens,
                         .max_tokens = request->max_tokens,
                         .parts = request->parts,
@@ -73,21 +76,44 @@
   return 0;
 }
 
+/* No server can be asked. Ends the request. */
+static void
+fail_placement (Relay *r, const Err *err)
+{
+  if (!r->response_started)
+    {
+      relay_finish_error (r, err);
+      return;
+    }
+  log_event (LOG_LEVEL_NOTICE, "relay", "not_resumed", "id=%s reason=%s detail=\"%s\"",
+             r->request->id, err_info (err->kind)->name, err->detail);
+  relay_abort (r, err->kind);
+}
+
+static bool
+may_ask_server (Relay *r, Err *err)
+{
+  return relay_check_version (r, err) && relay_check_quarantine (r, true, err);
+}
+
 void
 relay_start_attempt (Relay *r)
 {
   DispatchQuery query;
+  ServerVersions versions;
   Attempt *a;
   Err err = ERR_INIT;
   Assignment *assignment;
 
-  fill_query (r, &query);
-  assignment = relay_check_quarantine (r, true, &err)
-                   ? dispatch_pick (r->deps->dispatch, r, &query, &err)
-                   : NULL;
+  assignment = NULL;
+  if (may_ask_server (r, &err))
+    {
+      fill_query (r, &query, &versions);
+      assignment = dispatch_pick (r->deps->dispatch, r, &query, &err);
+    }
   if (!assignment)
     {
-      relay_finish_error (r, &err);
+      fail_placement (r, &err);
       return;
     }
   a = talloc_zero (r, Attempt);
@@ -102,6 +128,8 @@
   r->state = RELAY_SENT;
   snprintf (r->server, sizeof r->server, "%s", assignment_server (assignment));
   r->limits = assignment_limits (assignment);
+  log_word (r->version, sizeof r->version, assignment_server_state (assignment).version);
+  relay_record_version (r, assignment);
   a->call = send_request (r, a);
   if (!a->call)
     fail_attempt (r, a, FAIL_BEFORE_CONNECT, ERR_CONNECT_FAILED);
@@ -128,6 +156,7 @@
       else if (result == ASSIGNMENT_FAILED)
         result = ASSIGNMENT_UNREACHABLE;
     }
+  relay_note_source (r, a);
   assignment_end (a->assignment, result, timers_now_ms (r->deps->timers));
   a->assignment = NULL;
 }
@@ -147,11 +176,12 @@
 static void
 log_retry (const Relay *r, const Attempt *a, ErrKind kind, ErrKind retry_error)
 {
-  log_event (
-      LOG_LEVEL_INFO, "relay", retry_error == ERR_NONE ? "retry" : "no_retry",
-      "id=%s server=%s attempt=%d reason=%s rule=%s runs=%d events=%" PRId64 " left_ms=%" PRId64,
-      r->request->id, r->server, a->number, err_info (kind)->name, err_info (retry_error)->name,
-      r->runs, r->events, r->deadline_ms - timers_now_ms (r->deps->timers));
+  log_event (LOG_LEVEL_INFO, "relay", retry_error == ERR_NONE ? "retry" : "no_retry",
+             "id=%s server=%s version=%s attempt=%d reason=%s rule=%s runs=%d events=%" PRId64
+             " left_ms=%" PRId64,
+             r->request->id, r->server, r->version, a->number, err_info (kind)->name,
+             err_info (retry_error)->name, r->runs, r->events,
+             r->deadline_ms - timers_now_ms (r->deps->timers));
 }
 
 static void
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -1,5 +1,5 @@
 /* Internals of the relay: relay.c (budget, deadline, client), relay_attempt.c (server selection, backend
- * events, retries), relay_stream.c (stream events), relay_cut.c (exchanges that were cut off), relay_finish.c (final response, settlement, log). */
+ * events, retries), relay_stream.c (stream events), relay_version.c (which version a stream is bound to), relay_cut.c (exchanges that were cut off), relay_finish.c (final response, settlement, log). */
 #pragma once
 
 #include "relay/charge.h"
@@ -12,11 +12,20 @@
 
 typedef enum
 {
-  RELAY_RESERVING, /* waits for the budget reservation */
+  RELAY_RESERVING, /* waits for the version of its stream or the budget reservation */
   RELAY_SENT,      /* an attempt was started */
   RELAY_FINISHED
 } RelayState;
 
+/* What two versions of a server's software write doesn't fit together, so that the events of a stream must come from
+ * servers of one version. */
+typedef enum
+{
+  BINDING_NONE,    /* any version may be asked: no event was forwarded */
+  BINDING_VERSION, /* only Relay.bound_version */
+  BINDING_UNKNOWN /* none: the records of servers do not tell what wrote the events that were forwarded */
+} VersionBinding;
+
 typedef enum
 {
   RESPONSE_VALID,
@@ -56,6 +65,7 @@
   int64_t received_ms;
   int64_t deadline_ms;
   Timer *deadline;
+  StreamLookup *lookup; /* NULL: does not wait for the version of its stream */
   Reservation *reservation;
   Tokens reserved;
   Charge charge;        /* set by the settlement */
@@ -65,10 +75,15 @@
   Attempt *attempt;
   char *tried[DISPATCH_MAX_TRIED]; /* ids of the servers of failed attempts */
   size_t n_tried;
-  int sends;                          /* attempts started */
-  int runs;                           /* attempts that may have run */
-  bool response_started;              /* part of the response was sent to the client */
-  bool write_blocked;                 /* until relay_client_writable() */
+  int sends;             /* attempts started */
+  int runs;              /* attempts that may have run */
+  bool response_started; /* part of the response was sent to the client */
+  bool write_blocked;    /* until relay_client_writable() */
+  VersionBinding binding;
+  char bound_version[SERVER_VERSION_BYTES];
+  char recorded_version[SERVER_VERSION_BYTES]; /* empty: none was recorded */
+  char *sources[DISPATCH_MAX_TRIED]; /* ids of the servers of ended attempts that brought events */
+  size_t n_sources;
   char last_event_id[EVENT_ID_BYTES]; /* of the last event forwarded */
   int64_t events;                     /* stream events forwarded */
   Tokens delivered;                   /* output tokens that the forwarded events count as */
@@ -78,16 +93,45 @@
   int64_t max_gap_ms;
   char server[64];         /* id of the server of the latest attempt; for the log and error texts */
   AssignmentLimits limits; /* of the choice of that server; for the log */
+  char version[SERVER_VERSION_BYTES]; /* of that server, as a word for the log */
   /* For the charge and the log. */
   ErrKind reason; /* why the request failed; ERR_NONE: the response was forwarded completely */
   int status;     /* of the response to the client; 0 until it is known */
 };
 
+/* relay.c */
+void relay_reserve_budget (Relay *r);
+
 /* relay_attempt.c */
 extern const BackendEvents relay_backend_events;
 void relay_start_attempt (Relay *r);
 void relay_end_attempt (Relay *r, AssignmentResult result);
 
+/* relay_version.c */
+/* From now on only servers of this version may be asked. To be called before the first attempt if the client takes up a
+ * stream that @p version began. @param version as in AssignmentServer. */
+void relay_require_version (Relay *r, const char *version);
+/* @return the only version that may be asked, or NULL: any. */
+const char *relay_required_version (const Relay *r);
+/* To be called before the first event of the attempt is forwarded. @return false if it must not be, because the version of
+ * its server is doubtful and the client has events of another server already. */
+bool relay_bind_version (Relay *r, const Attempt *a);
+/* The attempt ends. To be called while it has its assignment. */
+void relay_note_source (Relay *r, const Attempt *a);
+/* To be called before each attempt. @return false if the rest of the stream must not be asked for. */
+bool relay_check_version (Relay *r, Err *err);
+
+/* relay_resume.c: over the tries of a client. */
+/* Finds the version that began the stream that the client takes up, if it does, and goes on to the budget. */
+void relay_find_version (Relay *r);
+/* To be called before a server is chosen; may require a version. @return the versions that may be used, in @p versions,
+ * or NULL: any. */
+const ServerVersions *relay_allowed_versions (Relay *r, ServerVersions *versions);
+/* To be called before the request is sent to the server. */
+void relay_record_version (Relay *r, const Assignment *assignment);
+/* The records of servers do not tell what wrote the events that were forwarded. */
+void relay_doubt_version (Relay *r);
+
 /* relay_cut.c */
 void relay_set_keys (Relay *r);
 /* @param is_sent false: before its budget is reserved. @return whether the request may be sent to a server. */
--- a/tests/unit/relay_fixture.c
+++ b/tests/unit/relay_fixture.c
@@ -5,7 +5,9 @@
 
 #include <talloc.h>
 
+#include "harness.h"
 #include "platform/platform_dialect.h"
+#include "relay/relay_impl.h"
 
 #define ACCOUNT "klubbarna"
 #define SERVERS 3
@@ -83,22 +85,29 @@
   timers_start (f->deps.timers, f->budgets, 0, fn, data);
 }
 
+void
+relay_fixture_publish (RelayFixture *f, int server, const char *version, int64_t started_ms,
+                       bool draining)
+{
+  char id[24];
+  ServerRecord record = { .id = id,
+                          .service = f->service->name,
+                          .address = id,
+                          .data_centre = "d",
+                          .version = version,
+                          .slots = 8,
+                          .draining = draining,
+                          .started_ms = started_ms };
+
+  snprintf (id, sizeof id, "server-%d", server);
+  dispatch_server_changed (f->dispatch, &record, timers_now_ms (f->deps.timers));
+}
+
 static void
 add_servers (RelayFixture *f)
 {
   for (int i = 0; i < SERVERS; i++)
-    {
-      char id[24];
-      ServerRecord record = { .id = id,
-                              .service = f->service->name,
-                              .address = id,
-                              .data_centre = "d",
-                              .version = "v1",
-                              .slots = 8 };
-
-      snprintf (id, sizeof id, "server-%d", i);
-      dispatch_server_changed (f->dispatch, &record, timers_now_ms (f->deps.timers));
-    }
+    relay_fixture_publish (f, i, "v1", 0, false);
 }
 
 RelayFixture *
@@ -181,6 +190,11 @@
 {
   f->relay = relay_new (&f->deps, talloc_new (NULL), &f->request, timers_now_ms (f->deps.timers),
                         &CLIENT_OPS, f);
+  if (f->relay && f->required_version)
+    {
+      CU_ASSERT_EQUAL (f->backend->n_calls, 0);
+      relay_require_version (f->relay, f->required_version);
+    }
   relay_fixture_run (f, 100);
 }
 
--- a/tests/unit/relay_fixture.h
+++ b/tests/unit/relay_fixture.h
@@ -20,8 +20,9 @@
   const CatalogService *service;
   RelayDeps deps;
   BufferQuota response_quota;
-  RelayRequest request; /* may be changed before relay_fixture_start() */
-  Relay *relay;         /* NULL once it has finished */
+  RelayRequest request;         /* may be changed before relay_fixture_start() */
+  const char *required_version; /* set by the test: only servers of it may be asked; NULL: of any */
+  Relay *relay;                 /* NULL once it has finished */
 
   /* What the client received. */
   int n_responses; /* complete responses and started streams */
@@ -37,6 +38,10 @@
 RelayFixture *relay_fixture_new (CallKind kind);
 void relay_fixture_free (RelayFixture *f);
 
+/** Announces the server "server-N", or its changed record; @p version may be NULL. */
+void relay_fixture_publish (RelayFixture *f, int server, const char *version, int64_t started_ms,
+                            bool draining);
+
 /** Starts the request and advances the virtual time by 100 ms. */
 void relay_fixture_start (RelayFixture *f);
 
