--- a/src/store/store.h
+++ b/src/store/store.h
@@ -86,9 +86,11 @@
   StoreResult result;
   const StoreRow *rows;
   size_t n_rows;
-  int64_t version;    /* of the store at the reply; after a commit, of the written rows */
-  int64_t time_ms;    /* the store's monotonic clock at the reply; 0: not sent */
-  bool has_more;      /* range only: there are more rows than the limit */
+  int64_t version; /* of the store at the reply; after a commit, of the written rows */
+  int64_t time_ms; /* the store's monotonic clock at the reply; 0: not sent */
+  bool has_more;   /* range only: there are more rows than the limit */
+  const char
+      *last_name; /* of the last row of the reply, even if it was left out; NULL: as rows says */
   const char *detail; /* for the log; may be NULL */
 } StoreReply;
 
--- a/src/store/store_watch.c
+++ b/src/store/store_watch.c
@@ -268,10 +268,20 @@
   read_feed (w);
 }
 
+/* @return the name after which the next page begins; NULL if there is none. */
+static const char *
+last_name (const StoreReply *reply)
+{
+  if (reply->last_name)
+    return reply->last_name;
+  return reply->n_rows > 0 ? reply->rows[reply->n_rows - 1].key.name : NULL;
+}
+
 static void
 on_page (void *data, const StoreReply *reply)
 {
   StoreWatch *w = data;
+  const char *last = last_name (reply);
 
   if (reply->result != STORE_DONE)
     {
@@ -285,14 +295,14 @@
     w->read_version = reply->version;
   for (size_t i = 0; i < reply->n_rows; i++)
     report_row (w, &reply->rows[i]);
-  if (!reply->has_more || reply->n_rows == 0)
+  if (!reply->has_more || !last)
     {
       finish_table_read (w);
       return;
     }
   talloc_free (w->page_start);
   /* The smallest name greater than the last one of the page. */
-  w->page_start = talloc_asprintf (w, "%s\x01", reply->rows[reply->n_rows - 1].key.name);
+  w->page_start = talloc_asprintf (w, "%s\x01", last);
   read_page (w);
 }
 
--- a/tests/unit/test_store_watch.c
+++ b/tests/unit/test_store_watch.c
@@ -172,6 +172,25 @@
   talloc_free (fx);
 }
 
+/* Guards against a full read that ends early, and then reports the rows behind as removed: no row of one page can be
+ * read. */
+static void
+a_page_of_unreadable_rows_does_not_end_a_full_read (void)
+{
+  Fixture *fx = fixture_new ();
+  StoreRow rows[] = { row ("c", 4, "2") };
+
+  send_reply (
+      fx, &(StoreReply){ .result = STORE_DONE, .version = 5, .has_more = true, .last_name = "b" });
+  CU_ASSERT_FALSE (store_watch_is_synced (fx->watch));
+  CU_ASSERT_FALSE (fx->is_feed);
+  CU_ASSERT (strcmp (fx->from, "b") > 0 && strcmp (fx->from, "c") < 0);
+  reply_rows (fx, 6, rows, 1, false);
+  CU_ASSERT_STRING_EQUAL (fx->events, "+c=2 ");
+  CU_ASSERT (store_watch_is_synced (fx->watch));
+  talloc_free (fx);
+}
+
 /* Guards against a server that is used for ever: its row was removed in a part of the feed that the store has
  * compacted, so no feed reply reports it. */
 static void
@@ -373,6 +392,8 @@
   static const TestCase CASES[] = {
     { "feed_starts_at_the_version_of_the_first_page",
       feed_starts_at_the_version_of_the_first_page },
+    { "a_page_of_unreadable_rows_does_not_end_a_full_read",
+      a_page_of_unreadable_rows_does_not_end_a_full_read },
     { "a_row_removed_in_lost_history_is_reported", a_row_removed_in_lost_history_is_reported },
     { "a_stale_page_never_replaces_a_newer_row", a_stale_page_never_replaces_a_newer_row },
     { "a_stale_page_does_not_bring_a_removed_row_back",
