store: a watch reports rows of the empty partition only

A row in another partition of the servers' table added, changed or removed the server that has its name, and one in another partition of the operator's table replaced the configuration: the change feed covers all partitions of a table, while full reads cover the empty one, and the handlers look at the name only. The removal came back with each full read, which did not find such a row.

The watch now ignores rows of other partitions, which no table of ours has where a watch reads it (budgets and ceilings have partitions, but are read by ranges); its bookkeeping is by name.

Evidence: rows_in_other_partitions_name_no_server failed in both checks before.

--- a/src/store/store_watch.c
+++ b/src/store/store_watch.c
@@ -2,7 +2,6 @@
 
 #include <glib.h>
 #include <inttypes.h>
-#include <string.h>
 
 #include <talloc.h>
 
@@ -33,11 +32,11 @@
 struct StoreWatch
 {
   StoreWatchOptions options;
-  GHashTable *reported;  /* ReportedRow by "partition\nname" */
-  GHashTable *found_ids; /* of the rows in the pages read so far; NULL: no full read in progress */
-  char *page_start;      /* first name of the next page */
-  int64_t read_version;  /* of the store when the first page of the full read was read */
-  int64_t version;       /* the feed has been read up to this version */
+  GHashTable *reported;    /* ReportedRow by name */
+  GHashTable *found;       /* names in the pages read so far; NULL: no full read in progress */
+  char *page_start;        /* first name of the next page */
+  int64_t read_version;    /* of the store when the first page of the full read was read */
+  int64_t version;         /* the feed has been read up to this version */
   int64_t stable_since_ms; /* first success after a failure or restore; INT64_MAX: none yet */
   int64_t mean_retry_ms;   /* mean delay before the next retry */
   int64_t poll_delay_ms;   /* before the next poll, after a reply with changes */
@@ -54,12 +53,6 @@
 static void read_page (StoreWatch *w);
 static void read_feed (StoreWatch *w);
 
-static char *
-row_id (const StoreKey *key)
-{
-  return g_strdup_printf ("%s\n%s", key->partition, key->name);
-}
-
 /* A row above restore_version was written after the restore, so its version cannot be compared with that of a row
  * reported before the restore. */
 static bool
@@ -73,38 +66,27 @@
 static void
 report_row (StoreWatch *w, const StoreRow *row)
 {
-  char *id = row_id (&row->key);
-  const ReportedRow *previous = g_hash_table_lookup (w->reported, id);
+  const char *name = row->key.name;
+  const ReportedRow *previous = g_hash_table_lookup (w->reported, name);
   bool existed = previous && !previous->removed_ms;
   ReportedRow now = { .version = row->version, .restore_count = w->restore_count };
 
-  if (w->found_ids)
-    g_hash_table_add (w->found_ids, g_strdup (id));
+  /* The feed covers all partitions of the table; full reads only the empty one. */
+  if (row->key.partition[0])
+    return;
+  if (w->found)
+    g_hash_table_add (w->found, g_strdup (name));
   if (previous && is_stale (w, previous, row))
-    {
-      g_free (id);
-      return;
-    }
+    return;
   if (row->removed)
     now.removed_ms = timers_now_ms (w->options.timers);
-  g_hash_table_insert (w->reported, id, g_memdup2 (&now, sizeof now));
+  g_hash_table_insert (w->reported, g_strdup (name), g_memdup2 (&now, sizeof now));
   if (!row->removed)
     w->options.events->changed (w->options.data, row);
   else if (existed)
     w->options.events->removed (w->options.data, &row->key);
 }
 
-static void
-report_removed (StoreWatch *w, const char *id)
-{
-  char *partition = g_strdup (id);
-  char *name = strchr (partition, '\n');
-
-  *name++ = '\0';
-  w->options.events->removed (w->options.data, &(StoreKey){ w->options.table, partition, name });
-  g_free (partition);
-}
-
 /* Reports the removal of rows that the full read did not find, except rows that are newer than the read. Also
  * forgets old removals. */
 static void
@@ -112,29 +94,30 @@
 {
   int64_t now = timers_now_ms (w->options.timers);
   GHashTableIter iter;
-  gpointer id;
+  gpointer name;
   gpointer value;
-  GPtrArray *removed_ids = g_ptr_array_new_with_free_func (g_free);
+  GPtrArray *removed = g_ptr_array_new_with_free_func (g_free);
 
   g_hash_table_iter_init (&iter, w->reported);
-  while (g_hash_table_iter_next (&iter, &id, &value))
+  while (g_hash_table_iter_next (&iter, &name, &value))
     {
       ReportedRow *row = value;
 
       if (row->removed_ms && now - row->removed_ms > TOMBSTONE_TTL_MS)
         g_hash_table_iter_remove (&iter);
       else if (!row->removed_ms && row->version <= w->read_version
-               && !g_hash_table_contains (w->found_ids, id))
+               && !g_hash_table_contains (w->found, name))
         {
           *row = (ReportedRow){ .version = w->read_version,
                                 .restore_count = w->restore_count,
                                 .removed_ms = now };
-          g_ptr_array_add (removed_ids, g_strdup (id));
+          g_ptr_array_add (removed, g_strdup (name));
         }
     }
-  for (guint i = 0; i < removed_ids->len; i++)
-    report_removed (w, removed_ids->pdata[i]);
-  g_ptr_array_free (removed_ids, TRUE);
+  for (guint i = 0; i < removed->len; i++)
+    w->options.events->removed (w->options.data,
+                                &(StoreKey){ w->options.table, "", removed->pdata[i] });
+  g_ptr_array_free (removed, TRUE);
 }
 
 /* --- Restores of the store ---------------------------------------------------------------- */
@@ -154,9 +137,9 @@
   w->full_read_pending = true;
   w->read_version = 0;
   TALLOC_FREE (w->page_start);
-  if (w->found_ids)
-    g_hash_table_unref (w->found_ids);
-  w->found_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  if (w->found)
+    g_hash_table_unref (w->found);
+  w->found = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
 /* A row that was lost in the restore and is still missing has no owner any more. Its version may be higher than
@@ -261,8 +244,8 @@
   w->full_read_pending = false;
   w->version = w->read_version;
   remove_missing (w);
-  g_hash_table_unref (w->found_ids);
-  w->found_ids = NULL;
+  g_hash_table_unref (w->found);
+  w->found = NULL;
   w->synced = true;
   report_batch_done (w);
   read_feed (w);
@@ -366,8 +349,8 @@
 {
   list_remove (&w->listener.node);
   g_hash_table_unref (w->reported);
-  if (w->found_ids)
-    g_hash_table_unref (w->found_ids);
+  if (w->found)
+    g_hash_table_unref (w->found);
   return 0;
 }
 
--- a/src/store/store_watch.h
+++ b/src/store/store_watch.h
@@ -1,7 +1,8 @@
 /** @file
- * Watches one table: reads all of it, then follows its change feed, and reads all of it again if the feed has lost
- * history. It also does so after the store was restored from a backup. A row of the backup is then reported only
- * if its version is higher than the one reported before; a row written after this read began is always reported.
+ * Watches the rows of one table that are in the empty partition: reads all of them, then follows the table's change
+ * feed, and reads all of them again if the feed has lost history. It also does so after the store was restored from a
+ * backup. A row of the backup is then reported only if its version is higher than the one reported before; a row
+ * written after this read began is always reported.
  * Control loop only. */
 #pragma once
 
--- a/tests/unit/test_odd_rows.c
+++ b/tests/unit/test_odd_rows.c
@@ -6,7 +6,12 @@
 #include <tevent.h>
 
 #include "canned_server.h"
+#include "fakes/fake_store.h"
+#include "fakes/virtual_timers.h"
 #include "harness.h"
+#include "platform/platform_catalog.h"
+#include "platform/platform_config_source.h"
+#include "platform/platform_servers.h"
 #include "platform/platform_store.h"
 
 #define TIMEOUT_MS 20000
@@ -122,6 +127,119 @@
     }
 }
 
+/* --- Servers and configuration ----------------------------------------------------------- */
+
+#define SERVER_ROW(state)                                                                          \
+  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":6,"  \
+  "\"state\":\"" state "\",\"cold_remaining_ms\":0,\"sequence\":1}"
+
+/* A configuration source on a store in memory; its events are recorded. */
+typedef struct
+{
+  VirtualTimers *vt;
+  Timers *timers;
+  FakeStore *store;
+  ConfigSource *source;
+  Rng rng;
+  char events[1024]; /* "+id", "+id leaving", "-id confirmed" or "-id" of servers, "catalog N" */
+} Source;
+
+static void
+append (Source *s, const char *sign, const char *text, const char *detail)
+{
+  size_t len = strlen (s->events);
+
+  snprintf (s->events + len, sizeof s->events - len, "%s%s%s; ", sign, text, detail);
+}
+
+static void
+on_catalog (void *data, const Catalog *catalog)
+{
+  char version[32];
+
+  snprintf (version, sizeof version, "%lld", (long long)catalog_version (catalog));
+  append (data, "catalog ", version, "");
+  catalog_unref (catalog);
+}
+
+static void
+on_server (void *data, const ServerRecord *record)
+{
+  append (data, "+", record->id, record->draining ? " leaving" : "");
+}
+
+static void
+on_server_removed (void *data, const char *id, bool confirmed)
+{
+  append (data, "-", id, confirmed ? " confirmed" : "");
+}
+
+static const ConfigSourceEvents SOURCE_EVENTS = { on_catalog, on_server, on_server_removed };
+
+static void
+run_ms (Source *s, int64_t ms)
+{
+  virtual_timers_run (s->vt, timers_now_ms (s->timers) + ms);
+}
+
+static void
+put (Source *s, const char *table, const char *partition, const char *name, const char *value)
+{
+  fake_store_put (s->store, &(StoreKey){ table, partition, name }, value);
+}
+
+/* Also forgets the events so far. */
+static void
+put_server (Source *s, const char *partition, const char *name, const char *value)
+{
+  s->events[0] = '\0';
+  put (s, PLATFORM_SERVERS_TABLE, partition, name, value);
+  run_ms (s, 5000);
+}
+
+/* The store has the server "i-1" and the configuration 7. */
+static Source *
+source_new (void)
+{
+  Source *s = talloc_zero (NULL, Source);
+  ConfigSourceOptions options = { .config_wait_ms = 1000, .events = &SOURCE_EVENTS, .data = s };
+
+  rng_seed (&s->rng, 1);
+  s->vt = virtual_timers_new (s, 1000);
+  s->timers = virtual_timers_service (s->vt);
+  s->store = fake_store_new (s, s->timers, &s->rng);
+  options.store = &fake_store_client_new (s->store)->store;
+  options.timers = s->timers;
+  options.rng = &s->rng;
+  put (s, PLATFORM_SERVERS_TABLE, "", "i-1", SERVER_ROW ("ready"));
+  put (s, PLATFORM_CONFIG_TABLE, "", PLATFORM_CONFIG_ROW, "{\"version\":7}");
+  s->source = platform_config_source_new (s, &options);
+  run_ms (s, 5000);
+  CU_ASSERT_PTR_NOT_NULL (strstr (s->events, "+i-1; "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (s->events, "catalog 7; "));
+  return s;
+}
+
+/* Guards against a server that is added, changed or removed by a row in another partition that only has its name. */
+static void
+rows_in_other_partitions_name_no_server (void)
+{
+  Source *s = source_new ();
+
+  put_server (s, "x", "i-1", SERVER_ROW ("draining"));
+  put_server (s, "x", "i-2", SERVER_ROW ("ready"));
+  put (s, PLATFORM_CONFIG_TABLE, "x", PLATFORM_CONFIG_ROW, "{\"version\":8}");
+  run_ms (s, 5000);
+  CU_ASSERT_STRING_EQUAL (s->events, "");
+  put_server (s, "x", "i-1", NULL);
+  fake_store_compact (s->store);
+  run_ms (s, 5000);
+  CU_ASSERT_STRING_EQUAL (s->events, "");
+  put_server (s, "", "i-1", SERVER_ROW ("draining"));
+  CU_ASSERT_STRING_EQUAL (s->events, "+i-1 leaving; ");
+  talloc_free (s);
+}
+
 int
 main (void)
 {
@@ -130,6 +248,7 @@
       a_row_with_an_odd_key_does_not_stop_the_others },
     { "a_row_with_an_odd_value_does_not_stop_the_others",
       a_row_with_an_odd_value_does_not_stop_the_others },
+    { "rows_in_other_partitions_name_no_server", rows_in_other_partitions_name_no_server },
   };
 
   return harness_run ("odd_rows", CASES, sizeof CASES / sizeof CASES[0]);
