platform: check the ranges of a server's row

A row that another program had left among those of the servers was taken for a server although its port was 0, its number of slots 0, negative or above 2^32 (stored as what was left of it), its start in the year 292,278,994 (after which the real server's row counted as that of an earlier start), or its key, service or version held a line end, which went into the header that names the server. A remaining warm-up of 1e300 ms was converted to an integer, which is undefined and differs between processors.

Ruled out as causes of an end of the process: deep nesting (jansson stops at 2,048 levels), numbers beyond its types, NUL bytes and invalid UTF-8; such rows were and are unreadable.

--- a/src/core/address.c
+++ b/src/core/address.c
@@ -53,6 +53,14 @@
   return inet_pton (AF_INET, ip, &((struct sockaddr_in *)&address->storage)->sin_addr) == 1;
 }
 
+uint16_t
+address_port (const Address *address)
+{
+  if (address->storage.ss_family == AF_INET6)
+    return ntohs (((const struct sockaddr_in6 *)&address->storage)->sin6_port);
+  return ntohs (((const struct sockaddr_in *)&address->storage)->sin_port);
+}
+
 bool
 address_equal (const Address *a, const Address *b)
 {
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -73,6 +73,128 @@
     }
 }
 
+/* Replaces the member @p name of a valid row by @p text, which may have further members. */
+static char *
+row_with (const void *ctx, const char *name, const char *text)
+{
+  static const char *const MEMBERS[][2]
+      = { { "service", "\"s\"" }, { "address", "\"10.0.0.1:80\"" },
+          { "zone", "\"z\"" },    { "state", "\"ready\"" },
+          { "slots", "6" },       { "version", "\"v1\"" },
+          { "born", "12" },       { "cold_remaining_ms", "30" } };
+  char *row = talloc_strdup (ctx, "{\"sequence\":1");
+
+  for (size_t i = 0; i < sizeof MEMBERS / sizeof MEMBERS[0]; i++)
+    row = talloc_asprintf_append (row, ",\"%s\":%s", MEMBERS[i][0],
+                                  strcmp (MEMBERS[i][0], name) != 0 ? MEMBERS[i][1] : text);
+  return talloc_asprintf_append (row, "}");
+}
+
+/* Guards against odd rows of other programs that are taken for servers: requests would go to port 0, numbers of slots
+ * wrap to negative ones, and a line end in a text would forge a header or a line of the log. */
+static void
+odd_server_rows_are_rejected (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *text;
+  } ODD[] = {
+    { "slots", "0" },
+    { "slots", "-6" },
+    { "slots", "4294967302" },
+    { "slots", "9223372036854775807" },
+    { "slots", "9223372036854775808" },
+    { "slots", "6.5" },
+    { "slots", "1e300" },
+    { "born", "-1" },
+    { "born", "9223372036854775807" },
+    { "born", "1e3" },
+    { "born", "null" },
+    { "cold_remaining_ms", "\"30\"" },
+    { "cold_remaining_ms", "1e999" },
+    { "address", "\"10.0.0.1:0\"" },
+    { "address", "\"10.0.0.1:65536\"" },
+    { "address", "\"10.0.0.1:4294967376\"" },
+    { "address", "\"10.0.0.1:18446744073709551696\"" },
+    { "address", "\"10.0.0.1:-80\"" },
+    { "address", "\"10.0.0.1:80\\u0000\"" },
+    { "service", "\"\"" },
+    { "service", "\"s\\r\\nX-Tenant: t\"" },
+    { "service", "\"\xff\"" },
+    { "zone", "\"\\ud800\"" },
+    { "zone", "\"z\\n\"" },
+    { "version", "7" },
+    { "version", "\"\\u007f\"" },
+    { "state", "\"ready\",\"state\":\"ready\"" },
+  };
+
+  for (size_t i = 0; i < sizeof ODD / sizeof ODD[0]; i++)
+    {
+      Err err;
+      char *row = row_with (NULL, ODD[i].name, ODD[i].text);
+      ServerRecord *s = parse_server (row, row, &err);
+
+      CU_ASSERT_PTR_NULL (s);
+      if (s)
+        printf ("accepted: %s %s\n", ODD[i].name, ODD[i].text);
+      talloc_free (row);
+    }
+}
+
+/* Guards against texts of any length in the memory, the headers and the log of every host. */
+static void
+texts_of_server_rows_are_bounded (void)
+{
+  static const char *const TEXTS[] = { "service", "zone", "version" };
+  char *longest = talloc_strdup (NULL, "");
+  Err err;
+
+  for (int i = 0; i < PLATFORM_SERVER_MAX_NAME_BYTES; i++)
+    longest = talloc_strdup_append (longest, "x");
+  for (size_t i = 0; i < sizeof TEXTS / sizeof TEXTS[0]; i++)
+    {
+      CU_ASSERT_PTR_NOT_NULL (parse_server (
+          longest, row_with (longest, TEXTS[i], talloc_asprintf (longest, "\"%s\"", longest)),
+          &err));
+      CU_ASSERT_PTR_NULL (parse_server (
+          longest, row_with (longest, TEXTS[i], talloc_asprintf (longest, "\"%sx\"", longest)),
+          &err));
+    }
+  CU_ASSERT_PTR_NOT_NULL (platform_server_parse (longest, longest, SERVER, strlen (SERVER), &err));
+  CU_ASSERT_PTR_NULL (platform_server_parse (longest, talloc_asprintf (longest, "%sx", longest),
+                                             SERVER, strlen (SERVER), &err));
+  CU_ASSERT_PTR_NULL (
+      platform_server_parse (longest, "i-1\r\nX-Tenant: t", SERVER, strlen (SERVER), &err));
+  talloc_free (longest);
+}
+
+/* Guards against a server that is not used, or used differently on different processors, because of the one number in
+ * its row that is only a hint. */
+static void
+warmup_of_a_server_row_is_limited (void)
+{
+  static const struct
+  {
+    const char *text;
+    int64_t warmup_ms;
+  } CASES[] = { { "-5", 0 },
+                { "30.7", 30 },
+                { "-1e300", 0 },
+                { "1e300", PLATFORM_SERVER_MAX_WARMUP_MS },
+                { "3600001", PLATFORM_SERVER_MAX_WARMUP_MS } };
+
+  for (size_t i = 0; i < sizeof CASES / sizeof CASES[0]; i++)
+    {
+      Err err;
+      char *row = row_with (NULL, "cold_remaining_ms", CASES[i].text);
+      ServerRecord *s = parse_server (row, row, &err);
+
+      CU_ASSERT (s && s->warmup_ms == CASES[i].warmup_ms);
+      talloc_free (row);
+    }
+}
+
 /* --- Response heads ---------------------------------------------------------------------- */
 
 static RelayResponseHead
@@ -287,6 +409,9 @@
       parts_of_a_prompt_are_recognised_wherever_they_stand },
     { "server_row_is_parsed_into_the_right_fields", server_row_is_parsed_into_the_right_fields },
     { "invalid_server_rows_are_rejected", invalid_server_rows_are_rejected },
+    { "odd_server_rows_are_rejected", odd_server_rows_are_rejected },
+    { "texts_of_server_rows_are_bounded", texts_of_server_rows_are_bounded },
+    { "warmup_of_a_server_row_is_limited", warmup_of_a_server_row_is_limited },
     { "response_to_another_request_is_ignored", response_to_another_request_is_ignored },
     { "not_run_requires_a_statement_of_the_server", not_run_requires_a_statement_of_the_server },
     { "request_carries_its_server_account_and_deadline",
