--- a/tests/unit/test_odd_rows.c
+++ b/tests/unit/test_odd_rows.c
@@ -240,6 +240,27 @@
   talloc_free (s);
 }
 
+/* Guards against a server that stays in use for ever because an odd row has taken the place of its own: hosts that start
+ * later do not know it, and nothing would say that it has gone. The other servers hold, and it comes back with its row. */
+static void
+a_server_whose_row_becomes_odd_is_given_up (void)
+{
+  Source *s = source_new ();
+
+  put_server (s, "", "i-2", SERVER_ROW ("ready"));
+  put_server (s, "", "i-1", "{");
+  CU_ASSERT_STRING_EQUAL (s->events, "-i-1; ");
+  put_server (s, "", "i-1", SERVER_ROW ("odd"));
+  CU_ASSERT_STRING_EQUAL (s->events, "");
+  put_server (s, "", "i-1", SERVER_ROW ("ready"));
+  CU_ASSERT_STRING_EQUAL (s->events, "+i-1; ");
+  put_server (s, "", "i-1", SERVER_ROW ("odd"));
+  CU_ASSERT_STRING_EQUAL (s->events, "-i-1; ");
+  put_server (s, "", "i-1", NULL);
+  CU_ASSERT_STRING_EQUAL (s->events, "-i-1 confirmed; ");
+  talloc_free (s);
+}
+
 int
 main (void)
 {
@@ -249,6 +270,7 @@
     { "a_row_with_an_odd_value_does_not_stop_the_others",
       a_row_with_an_odd_value_does_not_stop_the_others },
     { "rows_in_other_partitions_name_no_server", rows_in_other_partitions_name_no_server },
+    { "a_server_whose_row_becomes_odd_is_given_up", a_server_whose_row_becomes_odd_is_given_up },
   };
 
   return harness_run ("odd_rows", CASES, sizeof CASES / sizeof CASES[0]);
