--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -120,6 +120,35 @@
   catalog_unref (c);
 }
 
+/* Guards against a limit that becomes negative or zero because its number is too large for its type, and against one
+ * that differs between processors. */
+static void
+numbers_beyond_their_range_are_limited (void)
+{
+  static const char LARGE[]
+      = "{\"version\":7,\"services\":[{\"name\":\"s\",\"connection_limit\":4294967296}],"
+        "\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/a/"
+        "\",\"service\":\"s\",\"timeout_ms\":1e300,"
+        "\"max_attempts\":4294967296,\"priority\":-1e300,\"target_latency_ms\":2500.5}],"
+        "\"tenants\":[{\"name\":\"t\",\"priority\":-1,\"prepaid\":9007199254740991}],"
+        "\"limits\":{\"idle_timeout_ms\":9223372036854775807,\"max_body_bytes\":-1}}";
+  Err err;
+  const Catalog *c = parse_row (LARGE, &err);
+  const CatalogRoute *route = c ? catalog_match_route (c, "GET", "h", "/a/") : NULL;
+
+  CU_ASSERT_PTR_NOT_NULL (route);
+  if (!route)
+    return;
+  CU_ASSERT_EQUAL (catalog_find_service (c, "s")->connection_limit, INT32_MAX);
+  CU_ASSERT_EQUAL (route->timeout_ms, INT32_MAX);
+  CU_ASSERT_EQUAL (route->max_attempts, INT32_MAX);
+  CU_ASSERT_EQUAL (route->priority, 0);
+  CU_ASSERT_EQUAL (route->target_latency_ms, 2500);
+  CU_ASSERT_EQUAL (catalog_limits (c)->idle_timeout_ms, INT32_MAX);
+  CU_ASSERT_EQUAL (catalog_limits (c)->max_body_bytes, 0);
+  catalog_unref (c);
+}
+
 /* Guards against a weighted split that sends all requests to one target, and against one that selects
  * another target on a retry. */
 static void
@@ -210,6 +239,7 @@
     { "referenced_configuration_outlives_an_update", referenced_configuration_outlives_an_update },
     { "longest_matching_prefix_is_selected", longest_matching_prefix_is_selected },
     { "unknown_kind_is_treated_as_non_idempotent", unknown_kind_is_treated_as_non_idempotent },
+    { "numbers_beyond_their_range_are_limited", numbers_beyond_their_range_are_limited },
     { "targets_share_requests_by_weight", targets_share_requests_by_weight },
     { "accounts_are_found_by_their_keys", accounts_are_found_by_their_keys },
     { "invalid_row_is_rejected", invalid_row_is_rejected },
