relay: doubt a refusal that may be a copy of an earlier one

Callers could be told "not run, try again" (503) for a request that its server had run or was running, or it ran at a second server: a faulty server wrote an earlier refusal once more on a kept connection, between two exchanges or before the next response. A 421 or "not executed" without a request id was believed, also on a kept connection, and so was one with the id of a request that the same address had refused before (a second attempt has the same id; two rows may have one address).

A refusal now counts if it is the first response on its connection, where nothing earlier can be, or if it has the request's id and this request was not refused at the address before. Any other is "may have run", like a response with another id: 502 and no second attempt for what may not run twice. Its Retry-After and its 421 say nothing about the server either. The backend tells whether the exchange is the first on its connection (libcurl's count of connects). Ruled out: bytes that came while the connection was idle (found by the peek before a request is sent, test_reuse.c), refusals with another id (a mismatch before as well), and the native dialect, which reads "not run" only from a body whose head has the request's id.

--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -57,6 +57,7 @@
   const char *(*header) (BackendCall *call, const char *name);
   const char *(*interim_header) (BackendCall *call, const char *name);
   void (*each_header) (BackendCall *call, BackendHeaderFn fn, void *data);
+  bool (*is_first_exchange) (BackendCall *call);
 } BackendOps;
 
 struct Backend
@@ -113,3 +114,11 @@
 {
   call->backend->ops->each_header (call, fn, data);
 }
+
+/** @return whether no exchange was made on the call's connection before this one, so that no byte of an earlier
+ * response can be on it. To be called from headers on. */
+static inline bool
+backend_is_first_exchange (BackendCall *call)
+{
+  return call->backend->ops->is_first_exchange (call);
+}
--- a/src/backend/backend_http.c
+++ b/src/backend/backend_http.c
@@ -148,7 +148,14 @@
   http_exchange_each_header (((BackendHttpCall *)call)->exchange, fn, data);
 }
 
-static const BackendOps OPS = { start, cancel, resume, header, interim_header, each_header };
+static bool
+is_first_exchange (BackendCall *call)
+{
+  return http_exchange_opened_connection (((BackendHttpCall *)call)->exchange);
+}
+
+static const BackendOps OPS
+    = { start, cancel, resume, header, interim_header, each_header, is_first_exchange };
 
 Backend *
 backend_http_new (const void *ctx, HttpClient *client, int64_t connect_timeout_ms)
--- a/src/native/native_dialect.c
+++ b/src/native/native_dialect.c
@@ -210,6 +210,7 @@
   LoadReport report;
 
   (void)dialect;
+  head->has_id = id != NULL;
   head->matches_request = id && !strcmp (id, q->id);
   head->from_server = true;
   head->retry_after_ms = head->status == 503 ? retry_after_read (call) : 0;
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -256,6 +256,7 @@
     return false;
   a->head.status = status;
   r->deps->dialect->ops->decode_response_head (r->deps->dialect, r->request, call, &a->head);
+  relay_check_refusal (r, a, call);
   report_server_state (a, call, now);
   a->check = check_head (a);
   if (a->check == RESPONSE_MISMATCHED || a->check == RESPONSE_INVALID)
--- a/src/relay/relay_counters.c
+++ b/src/relay/relay_counters.c
@@ -13,6 +13,9 @@
   counters.open_requests = gauge_get ("pond_open_requests", "", "Requests being worked on.");
   counters.late_events
       = counter_get ("pond_late_events_total", "", "Events of an earlier attempt, dropped.");
+  counters.refusals_doubted
+      = counter_get ("pond_refusals_doubted_total", "",
+                     "Refusals of servers that may belong to an earlier request.");
   counters.stream_pauses
       = counter_get ("pond_stream_pauses_total", "", "Streams held back for a slow reader.");
   counters.tokens_delivered
--- a/src/relay/relay_counters.h
+++ b/src/relay/relay_counters.h
@@ -9,8 +9,9 @@
 {
   Counter *requests;
   Counter *open_requests;
-  Counter *late_events;   /* backend events of attempts that had ended already */
-  Counter *stream_pauses; /* times that a stream waited for a slow client */
+  Counter *late_events;      /* backend events of attempts that had ended already */
+  Counter *refusals_doubted; /* "not run" that may belong to an earlier request */
+  Counter *stream_pauses;    /* times that a stream waited for a slow client */
   Counter *tokens_delivered;
   Counter *usage_rejected;
   Histogram *duration;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -1,5 +1,5 @@
 /* Internals of the relay: relay.c (budget, deadline, client), relay_attempt.c (server selection, backend
- * events, retries), relay_stream.c (stream events), relay_cut.c (exchanges that were cut off), relay_finish.c (final response, settlement, log). */
+ * events, retries), relay_refusal.c (refusals of servers), relay_stream.c (stream events), relay_cut.c (exchanges that were cut off), relay_finish.c (final response, settlement, log). */
 #pragma once
 
 #include "relay/charge.h"
@@ -65,6 +65,9 @@
   Attempt *attempt;
   char *tried[DISPATCH_MAX_TRIED]; /* ids of the servers of failed attempts */
   size_t n_tried;
+  uint64_t refused_at
+      [DISPATCH_MAX_TRIED]; /* hashes of the addresses whose servers stated that it did not run */
+  size_t n_refused_at;
   int sends;                          /* attempts started */
   int runs;                           /* attempts that may have run */
   bool response_started;              /* part of the response was sent to the client */
@@ -88,6 +91,10 @@
 void relay_start_attempt (Relay *r);
 void relay_end_attempt (Relay *r, AssignmentResult result);
 
+/* relay_refusal.c: takes a refusal back that may be one of an earlier exchange of its connection. To be called with each
+ * decoded head. */
+void relay_check_refusal (Relay *r, Attempt *a, BackendCall *call);
+
 /* relay_cut.c */
 void relay_set_keys (Relay *r);
 /* @param is_sent false: before its budget is reserved. @return whether the request may be sent to a server. */
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -53,11 +53,12 @@
 typedef struct
 {
   int status;
-  bool matches_request;   /* carries the id of the request that was sent */
-  bool from_server;       /* written by a backend server and not by another HTTP server */
-  bool not_run;           /* the server states that it did not run the request */
-  bool misdirected;       /* another server has this address now */
-  bool draining;          /* the server is about to stop */
+  bool has_id;          /* carries the id of a request */
+  bool matches_request; /* carries the id of the request that was sent, or none if none was sent */
+  bool from_server;     /* written by a backend server and not by another HTTP server */
+  bool not_run;         /* the server states that it did not run the request */
+  bool misdirected;     /* another server has this address now */
+  bool draining;        /* the server is about to stop */
   int64_t retry_after_ms; /* the server asks for no requests during this time; 0: not stated */
   LimitStatement limit;
   bool has_load; /* running, waiting and slots were reported */
--- a/tests/fakes/fake_backend.c
+++ b/tests/fakes/fake_backend.c
@@ -75,7 +75,14 @@
     fn (data, h[0], h[1]);
 }
 
-static const BackendOps OPS = { start, cancel, resume, header, interim_header, each_header };
+static bool
+is_first_exchange (BackendCall *call)
+{
+  return !((FakeBackendCall *)call)->reused;
+}
+
+static const BackendOps OPS
+    = { start, cancel, resume, header, interim_header, each_header, is_first_exchange };
 
 FakeBackend *
 fake_backend_new (const void *ctx)
--- a/tests/fakes/fake_backend.h
+++ b/tests/fakes/fake_backend.h
@@ -13,6 +13,7 @@
   bool open;      /* neither ended nor cancelled */
   bool cancelled; /* by backend_cancel() */
   bool paused;    /* the last bytes were not accepted */
+  bool reused;    /* set by the test: the connection has had an exchange before */
   char *address;
   char *headers; /* of the request, each ended by a newline */
   char *body;
--- a/tests/unit/crash_fleet.c
+++ b/tests/unit/crash_fleet.c
@@ -325,8 +325,15 @@
   (void)call, (void)fn, (void)data;
 }
 
+static bool
+is_first_exchange (BackendCall *call)
+{
+  (void)call;
+  return true;
+}
+
 static const BackendOps BACKEND_OPS
-    = { start, cancel, resume, header, interim_header, each_header };
+    = { start, cancel, resume, header, interim_header, each_header, is_first_exchange };
 
 /* --- Set-up ------------------------------------------------------------------------------ */
 
--- a/tests/unit/test_reuse.c
+++ b/tests/unit/test_reuse.c
@@ -108,6 +108,7 @@
 {
   char id; /* from the response head */
   char body;
+  bool first; /* exchange on its connection */
   bool finished;
   bool failed;
 } Result;
@@ -118,6 +119,7 @@
   const char *id = backend_header (call, "X-Request-Id");
 
   ((Result *)data)->id = id ? id[0] : '\0';
+  ((Result *)data)->first = backend_is_first_exchange (call);
   return status == 200;
 }
 
@@ -195,6 +197,8 @@
   sleep_ms (150);
   b = run_request (loop, backend, address, "X-Request-Id: b");
   own_response = !b.failed && b.id == 'b';
+  /* What is on a kept connection may be of an earlier exchange, so the relay must know of it. */
+  CU_ASSERT (a.first && b.first == (time != DUPLICATE_BEFORE_NEXT_RESPONSE));
   /* The id in the head belongs to the body, so that the relay can reject a response with another id. */
   CU_ASSERT (b.failed || b.id == b.body);
   talloc_free (ctx);
