relay: note the whole id of a server that was tried

A request that a server had refused was sent to the same server again, up to five times, if the server's id had 64 bytes or more: the list of servers already tried held what fitted into the buffer of the log, which equals no id. Keys of the store, and so ids, may have 200 bytes.

Evidence: a_server_with_a_long_id_is_not_tried_again failed before (a second attempt instead of 503).

--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -10,6 +10,9 @@
 /* Including the terminating NUL; longer event ids are not stored. */
 #define EVENT_ID_BYTES 24
 
+/* Including the terminating NUL. Servers' ids are keys of the store, which have 200 bytes at most. */
+#define SERVER_ID_BYTES 201
+
 typedef enum
 {
   RELAY_RESERVING, /* waits for the budget reservation */
@@ -79,8 +82,8 @@
   int64_t first_event_ms;
   int64_t last_event_ms;
   int64_t max_gap_ms;
-  char server[64];         /* id of the server of the latest attempt; for the log and error texts */
-  AssignmentLimits limits; /* of the choice of that server; for the log */
+  char server[SERVER_ID_BYTES]; /* id of the server of the latest attempt */
+  AssignmentLimits limits;      /* of the choice of that server; for the log */
   /* For the charge and the log. */
   ErrKind reason; /* why the request failed; ERR_NONE: the response was forwarded completely */
   int status;     /* of the response to the client; 0 until it is known */
--- a/tests/unit/test_refusals.c
+++ b/tests/unit/test_refusals.c
@@ -1,5 +1,6 @@
 /* A server's "not run" is believed only if it cannot be a copy of an earlier one on the same connection. */
 #include <stdio.h>
+#include <string.h>
 
 #include <talloc.h>
 
@@ -145,6 +146,38 @@
   relay_fixture_free (f);
 }
 
+/* Guards against a second attempt at the server that has refused the first, because its long id was cut when it was
+ * noted. */
+static void
+a_server_with_a_long_id_is_not_tried_again (void)
+{
+  RelayFixture *f = relay_fixture_new (CALL_NON_IDEMPOTENT);
+  char id[201];
+  ServerRecord record = { .id = id,
+                          .service = f->service->name,
+                          .address = "10.0.0.1:80",
+                          .data_centre = "d",
+                          .version = "v1",
+                          .slots = 8 };
+
+  memset (id, 'x', sizeof id - 1);
+  id[sizeof id - 1] = '\0';
+  dispatch_server_changed (f->dispatch, &record, timers_now_ms (f->deps.timers));
+  for (int i = 0; i < 3; i++)
+    {
+      char other[24];
+
+      snprintf (other, sizeof other, "server-%d", i);
+      dispatch_server_removed (f->dispatch, other, true, timers_now_ms (f->deps.timers));
+    }
+  relay_fixture_start (f);
+  CU_ASSERT_STRING_EQUAL (relay_fixture_last_call (f)->address, record.address);
+  refuse (f, false, 503, OWN_HEADERS);
+  CU_ASSERT_EQUAL (f->backend->n_calls, 1);
+  CU_ASSERT_EQUAL (f->status, 503);
+  relay_fixture_free (f);
+}
+
 int
 main (void)
 {
@@ -157,6 +190,7 @@
     { "a_refusal_of_the_attempt_before_is_not_believed_again",
       a_refusal_of_the_attempt_before_is_not_believed_again },
     { "a_doubted_refusal_does_not_pause_its_server", a_doubted_refusal_does_not_pause_its_server },
+    { "a_server_with_a_long_id_is_not_tried_again", a_server_with_a_long_id_is_not_tried_again },
   };
 
   return harness_run ("refusals", CASES, sizeof CASES / sizeof CASES[0]);
