http: close a connection whose response was rejected, also without a body

After one response too many on a kept connection, two callers got 502 instead of one: if the extra response had no body (a refusal), libcurl kept the connection although the response was rejected for its id. The response that was really due came with the next exchange, and was rejected as well. A response with a body was aborted and its connection closed.

A connection whose complete response was rejected is now shut down, so that the check before the next request finds it closed and opens another. Ruled out: to reject the head before libcurl has completed the exchange, since it reports a head without a body only then.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -85,6 +85,25 @@
   return x->in_multi;
 }
 
+/* libcurl keeps the connection of an exchange whose response was complete, also if that response was rejected; the one
+ * that the request is due may still come on it. Shut down, it counts as stale. */
+static void
+shut_connection (HttpExchange *x)
+{
+  char *remote_ip = NULL;
+  long remote_port = 0;
+  long local_port = 0;
+  int fd;
+
+  curl_easy_getinfo (x->easy, CURLINFO_PRIMARY_IP, &remote_ip);
+  curl_easy_getinfo (x->easy, CURLINFO_PRIMARY_PORT, &remote_port);
+  curl_easy_getinfo (x->easy, CURLINFO_LOCAL_PORT, &local_port);
+  fd = connection_table_find (x->client->connections,
+                              &(ConnectionEnds){ remote_ip, (int)remote_port, (int)local_port });
+  if (fd >= 0)
+    shutdown (fd, SHUT_RDWR);
+}
+
 void
 client_reap (HttpClient *client)
 {
@@ -105,6 +124,8 @@
         continue;
       if (result == HTTP_COMPLETE)
         report_headers (x);
+      if (result == HTTP_COMPLETE && x->aborted)
+        shut_connection (x);
       x->events->done (x->data, x, result);
     }
 }
--- a/tests/unit/test_reuse.c
+++ b/tests/unit/test_reuse.c
@@ -19,9 +19,10 @@
 /** When the duplicate of the first response is sent. */
 typedef enum
 {
-  DUPLICATE_AT_ONCE,             /* immediately after the first */
-  DUPLICATE_WHILE_IDLE,          /* while the connection is idle */
-  DUPLICATE_BEFORE_NEXT_RESPONSE /* after the next request, before its response */
+  DUPLICATE_AT_ONCE,              /* immediately after the first */
+  DUPLICATE_WHILE_IDLE,           /* while the connection is idle */
+  DUPLICATE_BEFORE_NEXT_RESPONSE, /* after the next request, before its response */
+  REFUSAL_BEFORE_NEXT_RESPONSE /* the same, as a refusal without a body, well before the response */
 } DuplicateTime;
 
 typedef struct
@@ -53,6 +54,17 @@
     fprintf (stderr, "sending the response failed\n");
 }
 
+/* As the response to request "a". */
+static void
+send_refusal (int fd)
+{
+  static const char REFUSAL[] = "HTTP/1.1 503 Full\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n";
+
+  if (send (fd, REFUSAL, sizeof REFUSAL - 1, MSG_NOSIGNAL) != (ssize_t)sizeof REFUSAL - 1)
+    fprintf (stderr, "sending the refusal failed\n");
+  sleep_ms (100);
+}
+
 /* @return the id of the next request, or 0 once the client has closed the connection. */
 static char
 read_request (int fd)
@@ -77,8 +89,10 @@
     {
       if (s->time == DUPLICATE_BEFORE_NEXT_RESPONSE && id == 'b' && first)
         send_response (fd, 'a');
+      if (s->time == REFUSAL_BEFORE_NEXT_RESPONSE && id == 'b' && first)
+        send_refusal (fd);
       send_response (fd, id);
-      if (id == 'a' && s->time != DUPLICATE_BEFORE_NEXT_RESPONSE)
+      if (id == 'a' && s->time < DUPLICATE_BEFORE_NEXT_RESPONSE)
         {
           sleep_ms (s->time == DUPLICATE_WHILE_IDLE ? 50 : 0);
           send_response (fd, 'a');
@@ -171,9 +185,9 @@
   return result;
 }
 
-/* @return whether the second request got its own response. */
+/* @return whether the last of two or, after a refusal, three requests got its own response. */
 static bool
-run_two_requests (DuplicateTime time)
+run_requests (DuplicateTime time)
 {
   void *ctx = talloc_new (NULL);
   Loop *loop = loop_new (ctx);
@@ -197,10 +211,17 @@
   sleep_ms (150);
   b = run_request (loop, backend, address, "X-Request-Id: b");
   own_response = !b.failed && b.id == 'b';
+  if (time == REFUSAL_BEFORE_NEXT_RESPONSE)
+    {
+      Result c = run_request (loop, backend, address, "X-Request-Id: c");
+
+      CU_ASSERT (b.id == 'a' && !b.first);
+      own_response = !c.failed && c.id == 'c' && c.body == 'c';
+    }
   /* What is on a kept connection may be of an earlier exchange, so the relay must know of it. */
-  CU_ASSERT (a.first && b.first == (time != DUPLICATE_BEFORE_NEXT_RESPONSE));
+  CU_ASSERT (a.first && b.first == (time < DUPLICATE_BEFORE_NEXT_RESPONSE));
   /* The id in the head belongs to the body, so that the relay can reject a response with another id. */
-  CU_ASSERT (b.failed || b.id == b.body);
+  CU_ASSERT (b.failed || b.id == b.body || time == REFUSAL_BEFORE_NEXT_RESPONSE);
   talloc_free (ctx);
   shutdown (s.listener, SHUT_RDWR);
   pthread_join (s.thread, NULL);
@@ -212,17 +233,25 @@
 static void
 duplicate_response_carries_its_own_id (void)
 {
-  run_two_requests (DUPLICATE_AT_ONCE);
-  run_two_requests (DUPLICATE_WHILE_IDLE);
-  run_two_requests (DUPLICATE_BEFORE_NEXT_RESPONSE);
+  run_requests (DUPLICATE_AT_ONCE);
+  run_requests (DUPLICATE_WHILE_IDLE);
+  run_requests (DUPLICATE_BEFORE_NEXT_RESPONSE);
 }
 
 /* Guards against losing a request's own response because a duplicate was received before it. */
 static void
 a_connection_with_unread_bytes_is_not_used_again (void)
 {
-  CU_ASSERT (run_two_requests (DUPLICATE_AT_ONCE));
-  CU_ASSERT (run_two_requests (DUPLICATE_WHILE_IDLE));
+  CU_ASSERT (run_requests (DUPLICATE_AT_ONCE));
+  CU_ASSERT (run_requests (DUPLICATE_WHILE_IDLE));
+}
+
+/* Guards against one response too many that fails a request after another: the connection was used again after a
+ * rejected response without a body, and the next request got the response to the one before. */
+static void
+a_connection_with_a_rejected_response_is_not_used_again (void)
+{
+  CU_ASSERT (run_requests (REFUSAL_BEFORE_NEXT_RESPONSE));
 }
 
 int
@@ -232,6 +261,8 @@
     { "duplicate_response_carries_its_own_id", duplicate_response_carries_its_own_id },
     { "a_connection_with_unread_bytes_is_not_used_again",
       a_connection_with_unread_bytes_is_not_used_again },
+    { "a_connection_with_a_rejected_response_is_not_used_again",
+      a_connection_with_a_rejected_response_is_not_used_again },
   };
 
   return harness_run ("reuse", CASES, sizeof CASES / sizeof CASES[0]);
