--- a/src/budget/grant_client_rows.c
+++ b/src/budget/grant_client_rows.c
@@ -154,7 +154,8 @@
   c->row_reconciled = grant_client_is_reconciled (c);
   if (!all_rows)
     return;
-  c->total_spent = total + c->previously_spent + c->account->spent - c->account->reported;
+  total = tokens_add_saturated (total, c->previously_spent);
+  c->total_spent = tokens_add_saturated (total, c->account->spent - c->account->reported);
   c->total_read_ms = now;
   c->totals_requested = false;
 }
--- a/tests/unit/test_odd_rows.c
+++ b/tests/unit/test_odd_rows.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 #include <tevent.h>
 
+#include "budget/budget_rows.h"
 #include "canned_server.h"
 #include "fakes/fake_store.h"
 #include "fakes/virtual_timers.h"
@@ -261,6 +262,51 @@
   talloc_free (s);
 }
 
+/* --- Rows of this system's own tables ---------------------------------------------------- */
+
+static StoreRow
+row_of (const char *text)
+{
+  return (StoreRow){ .version = 1, .value = text, .len = strlen (text) };
+}
+
+/* Guards against sums of tokens that overflow, after which an account could have more or less than it has. */
+static void
+odd_rows_of_a_budget_are_rejected (void)
+{
+  static const char *const ODD[]
+      = { "{\"granted\":9223372036854775807,\"limit\":5,\"limit_version\":1}",
+          "{\"granted\":-9223372036854775808,\"limit\":5,\"limit_version\":1}",
+          "{\"granted\":1e300,\"limit\":5,\"limit_version\":1}",
+          "{\"granted\":5,\"limit\":9223372036854775807,\"limit_version\":1}",
+          "{\"granted\":5,\"limit\":5,\"limit_version\":1,\"era\":9223372036854775807}",
+          "{\"granted\":5,\"limit\":5,\"limit_version\":1,\"era\":2,\"base_granted\":\"5\"}" };
+  static const char *const ODD_HOST[]
+      = { "{\"incarnation\":1,\"seq\":1,\"granted\":5,\"spent\":9223372036854775807}",
+          "{\"incarnation\":1,\"seq\":1,\"granted\":-9223372036854775808,\"spent\":5}" };
+  StoreRow valid
+      = row_of ("{\"granted\":-7,\"limit\":1152921504606846976,\"limit_version\":1,\"era\":2}");
+  StoreRow valid_host = row_of ("{\"incarnation\":-9223372036854775808,\"seq\":9223372036854775807,"
+                                "\"granted\":5,\"spent\":5}");
+  BudgetRow row = { 0 };
+  BudgetHostRow host = { 0 };
+
+  for (size_t i = 0; i < sizeof ODD / sizeof ODD[0]; i++)
+    {
+      StoreRow stored = row_of (ODD[i]);
+
+      CU_ASSERT_FALSE (budget_row_decode (&stored, &row));
+    }
+  for (size_t i = 0; i < sizeof ODD_HOST / sizeof ODD_HOST[0]; i++)
+    {
+      StoreRow stored = row_of (ODD_HOST[i]);
+
+      CU_ASSERT_FALSE (budget_host_row_decode (&stored, &host));
+    }
+  CU_ASSERT (budget_row_decode (&valid, &row) && row.granted == -7 && row.era == 2);
+  CU_ASSERT (budget_host_row_decode (&valid_host, &host) && host.seq == INT64_MAX);
+}
+
 int
 main (void)
 {
@@ -271,6 +317,7 @@
       a_row_with_an_odd_value_does_not_stop_the_others },
     { "rows_in_other_partitions_name_no_server", rows_in_other_partitions_name_no_server },
     { "a_server_whose_row_becomes_odd_is_given_up", a_server_whose_row_becomes_odd_is_given_up },
+    { "odd_rows_of_a_budget_are_rejected", odd_rows_of_a_budget_are_rejected },
   };
 
   return harness_run ("odd_rows", CASES, sizeof CASES / sizeof CASES[0]);
