quarantine: reject rows whose counts are beyond the type

So were its trials.

Counts above a million, or of another type, make the row unreadable. What was stopped before by a row of that key stays stopped: to send such requests would cost servers.

Evidence: odd_rows_of_the_quarantine_stop_nothing failed in three of eight rows before.

--- a/src/quarantine/quarantine_rows.c
+++ b/src/quarantine/quarantine_rows.c
@@ -8,6 +8,7 @@
 #include <jansson.h>
 #include <talloc.h>
 
+#include "core/json_integer.h"
 #include "core/log.h"
 #include "store/store_watch.h"
 
@@ -19,6 +20,12 @@
 /* A kind's name, a colon and sixteen digits. */
 #define NAME_BYTES 40
 
+/* Far above what hosts write. */
+#define MAX_COUNT 1000000
+
+static const IntegerRange ENDS = { 1, MAX_COUNT };
+static const IntegerRange TRIALS = { 0, MAX_COUNT };
+
 struct QuarantineRows
 {
   QuarantineRowsOptions options;
@@ -57,16 +64,16 @@
 static bool
 parse_row (const json_t *json, StoppedRow *row)
 {
-  const json_t *ends = json_object_get (json, "ends");
-  const json_t *trials = json_object_get (json, "trials");
+  int64_t ends;
+  int64_t trials;
   const json_t *instances = json_object_get (json, "instances");
   const json_t *instance;
   size_t i;
 
-  *row = (StoppedRow){ .ends = (int)json_integer_value (ends),
-                       .trials = (int)json_integer_value (trials) };
-  if (row->ends < 1 || row->trials < 0 || !json_is_integer (trials))
+  if (!json_integer_read (json_object_get (json, "ends"), ENDS, &ends)
+      || !json_integer_read (json_object_get (json, "trials"), TRIALS, &trials))
     return false;
+  *row = (StoppedRow){ .ends = (int)ends, .trials = (int)trials };
   json_array_foreach (instances, i, instance)
   {
     if (json_is_string (instance) && row->n_instances < EVIDENCE_ENDS - 1)
--- a/tests/unit/test_odd_rows.c
+++ b/tests/unit/test_odd_rows.c
@@ -14,6 +14,7 @@
 #include "platform/platform_config_source.h"
 #include "platform/platform_servers.h"
 #include "platform/platform_store.h"
+#include "quarantine/quarantine_rows.h"
 
 #define TIMEOUT_MS 20000
 
@@ -307,6 +308,48 @@
   CU_ASSERT (budget_host_row_decode (&valid_host, &host) && host.seq == INT64_MAX);
 }
 
+/* @return whether the row of the quarantine stops the requests with its key. */
+static bool
+row_stops_requests (const char *value)
+{
+  VirtualTimers *vt = virtual_timers_new (NULL, 1000);
+  Rng rng;
+  FakeStore *store;
+  QuarantineRowsOptions options = { .timers = virtual_timers_service (vt), .rng = &rng };
+  QuarantineKey key = { .kind = QUARANTINE_PROMPT_PART, .id = 7 };
+  QuarantineRefusal refusal;
+  bool stops;
+
+  rng_seed (&rng, 1);
+  store = fake_store_new (vt, options.timers, &rng);
+  options.store = &fake_store_client_new (store)->store;
+  options.quarantine = quarantine_new (vt, &(QuarantineOptions){ .seed = 1 });
+  fake_store_put (store, &(StoreKey){ QUARANTINE_TABLE, "", "part:0000000000000007" }, value);
+  quarantine_rows_new (vt, &options);
+  virtual_timers_run (vt, 3000);
+  stops = !quarantine_allows (options.quarantine, &key, 1, false, 3000, &refusal);
+  talloc_free (vt);
+  return stops;
+}
+
+/* Guards against requests that are stopped, or sent once more, by what is left of a number that is too large. */
+static void
+odd_rows_of_the_quarantine_stop_nothing (void)
+{
+  static const char *const ODD[] = { "{\"ends\":4294967299,\"trials\":0}",
+                                     "{\"ends\":3,\"trials\":4294967296}",
+                                     "{\"ends\":3,\"trials\":-4294967296}",
+                                     "{\"ends\":9223372036854775807,\"trials\":0}",
+                                     "{\"ends\":1e300,\"trials\":0}",
+                                     "{\"ends\":3}",
+                                     "[3,0]",
+                                     "" };
+
+  CU_ASSERT (row_stops_requests ("{\"ends\":3,\"trials\":0,\"instances\":[]}"));
+  for (size_t i = 0; i < sizeof ODD / sizeof ODD[0]; i++)
+    CU_ASSERT_FALSE (row_stops_requests (ODD[i]));
+}
+
 int
 main (void)
 {
@@ -318,6 +361,7 @@
     { "rows_in_other_partitions_name_no_server", rows_in_other_partitions_name_no_server },
     { "a_server_whose_row_becomes_odd_is_given_up", a_server_whose_row_becomes_odd_is_given_up },
     { "odd_rows_of_a_budget_are_rejected", odd_rows_of_a_budget_are_rejected },
+    { "odd_rows_of_the_quarantine_stop_nothing", odd_rows_of_the_quarantine_stop_nothing },
   };
 
   return harness_run ("odd_rows", CASES, sizeof CASES / sizeof CASES[0]);
