peer: drop messages whose numbers are beyond their range

A message of another host with an age, time or amount near the ends of its type, a rate of infinity or a negative amount was used as it stood: ages were subtracted from the clock (an overflow, undefined), a rate of infinity divided among hosts as an integer (undefined as well), a negative transfer taken off the balance. Frames with odd lengths or that do not parse already end their connection.

One check of all kinds before the handlers drops such messages and counts them (pond_peer_dropped_total{reason="out_of_range"}). Ages a little below 0 pass, since two threads read the clock; so do amounts below 0 that a host only reports.

--- a/src/peer/peer_stats.c
+++ b/src/peer/peer_stats.c
@@ -7,7 +7,8 @@
 #define MAX_KINDS 64 /* greater than every field number of Envelope.body */
 
 static const char *const DROP_REASONS[]
-    = { "unknown_host", "unreachable", "overflow", "too_long", "unknown_sender", "misdirected" };
+    = { "unknown_host",   "unreachable", "overflow",    "too_long",
+        "unknown_sender", "misdirected", "out_of_range" };
 
 /* These caches avoid a look-up by name per message. No lock is needed: the transport runs on one
  * thread. */
--- a/src/peer/peer_stats.h
+++ b/src/peer/peer_stats.h
@@ -16,6 +16,7 @@
   PEER_DROP_TOO_LONG,       /* longer than max_frame_bytes */
   PEER_DROP_UNKNOWN_SENDER, /* the sender was not added to the transport */
   PEER_DROP_MISDIRECTED,    /* addressed to another host */
+  PEER_DROP_OUT_OF_RANGE,   /* a number is beyond its range (message_check.h) */
   N_PEER_DROP_REASONS
 } PeerDrop;
 
--- a/src/peer/peer_tcp.c
+++ b/src/peer/peer_tcp.c
@@ -7,6 +7,7 @@
 
 #include "core/log.h"
 #include "peer/frame.h"
+#include "peer/message_check.h"
 #include "peer/peer_listener.h"
 #include "peer/peer_connection.h"
 
@@ -72,6 +73,8 @@
     peer_stats_dropped (&p->shared.stats, PEER_DROP_MISDIRECTED);
   else if (!g_hash_table_contains (p->connections, env->from))
     peer_stats_dropped (&p->shared.stats, PEER_DROP_UNKNOWN_SENDER);
+  else if (!peer_message_is_valid (env))
+    peer_stats_dropped (&p->shared.stats, PEER_DROP_OUT_OF_RANGE);
   else
     p->handler (p->data, env);
 }
--- a/tests/unit/test_peer.c
+++ b/tests/unit/test_peer.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -305,6 +306,87 @@
     }
 }
 
+static void
+send_limit (PeerTcp *from, double requests_per_s, int64_t age_ms)
+{
+  Pond__Envelope env = POND__ENVELOPE__INIT;
+  Pond__ServerLimited m = POND__SERVER_LIMITED__INIT;
+
+  m.requests_per_s = requests_per_s;
+  m.age_ms = age_ms;
+  env.body_case = POND__ENVELOPE__BODY_SERVER_LIMITED;
+  env.server_limited = &m;
+  peer_transport_send (peer_tcp_transport (from), "b", &env);
+}
+
+static void
+send_give (PeerTcp *from, int64_t tokens, int64_t left)
+{
+  Pond__Envelope env = POND__ENVELOPE__INIT;
+  Pond__BalanceGive m = POND__BALANCE_GIVE__INIT;
+
+  m.tokens = tokens;
+  m.left = left;
+  env.body_case = POND__ENVELOPE__BODY_BALANCE_GIVE;
+  env.balance_give = &m;
+  peer_transport_send (peer_tcp_transport (from), "b", &env);
+}
+
+static void
+send_age (PeerTcp *from, Pond__Envelope__BodyCase kind, int64_t age_ms)
+{
+  Pond__Envelope env = POND__ENVELOPE__INIT;
+  Pond__RequestCut cut = POND__REQUEST_CUT__INIT;
+  Pond__RequestSound sound = POND__REQUEST_SOUND__INIT;
+  Pond__RotationTold told = POND__ROTATION_TOLD__INIT;
+
+  cut.age_ms = sound.age_ms = told.out_ms = age_ms;
+  env.body_case = kind;
+  if (kind == POND__ENVELOPE__BODY_REQUEST_CUT)
+    env.request_cut = &cut;
+  else if (kind == POND__ENVELOPE__BODY_REQUEST_SOUND)
+    env.request_sound = &sound;
+  else
+    env.rotation_told = &told;
+  peer_transport_send (peer_tcp_transport (from), "b", &env);
+}
+
+/* Guards against times and amounts that overflow, and limits that are no number, in what a host makes of a message. */
+static void
+messages_with_numbers_beyond_their_range_are_dropped (void)
+{
+  static const int64_t ENDS[] = { INT64_MIN, INT64_MAX };
+  PeerFixture *f = fixture_new (&DEFAULTS);
+  const PeerStats *stats = peer_tcp_stats (f->b);
+  int n = 0;
+
+  for (size_t i = 0; i < sizeof ENDS / sizeof ENDS[0]; i++, n += 6)
+    {
+      send_limit (f->a, 2, ENDS[i]);
+      send_give (f->a, ENDS[i], 0);
+      send_give (f->a, 5, ENDS[i]);
+      send_age (f->a, POND__ENVELOPE__BODY_REQUEST_CUT, ENDS[i]);
+      send_age (f->a, POND__ENVELOPE__BODY_REQUEST_SOUND, ENDS[i]);
+      send_age (f->a, POND__ENVELOPE__BODY_ROTATION_TOLD, ENDS[i]);
+    }
+  send_limit (f->a, (double)INFINITY, 5);
+  send_limit (f->a, (double)NAN, 5);
+  send_limit (f->a, -1, 5);
+  send_give (f->a, -1, 5);
+  WAIT_FOR (f, stats->received_messages == n + 4);
+  CU_ASSERT_EQUAL (f->n_received, 0);
+  CU_ASSERT_EQUAL (stats->dropped[PEER_DROP_OUT_OF_RANGE], n + 4);
+  send_limit (f->a, 100000, -20);
+  send_limit (f->a, 0, 3600000);
+  send_give (f->a, 0, -5);
+  send_give (f->a, (int64_t)1 << 53, 0);
+  send_age (f->a, POND__ENVELOPE__BODY_REQUEST_CUT, -1);
+  send_age (f->a, POND__ENVELOPE__BODY_REQUEST_SOUND, 86400000);
+  send_age (f->a, POND__ENVELOPE__BODY_ROTATION_TOLD, 0);
+  WAIT_FOR (f, f->n_received == 7);
+  fixture_free (f);
+}
+
 /* --- Failures ---------------------------------------------------------------------------- */
 
 /* Guards against a connection that is never re-established after its peer's restart. */
@@ -468,6 +550,8 @@
       oversized_messages_are_dropped_by_the_sender },
     { "frames_in_several_reads_are_assembled", frames_in_several_reads_are_assembled },
     { "bad_frames_close_the_connection", bad_frames_close_the_connection },
+    { "messages_with_numbers_beyond_their_range_are_dropped",
+      messages_with_numbers_beyond_their_range_are_dropped },
     { "unknown_senders_and_misdirected_messages_are_dropped",
       unknown_senders_and_misdirected_messages_are_dropped },
     { "connection_recovers_after_peer_restart", connection_recovers_after_peer_restart },
