ticket: print the sequence number of the ticket itself

The row that records a ticket's number now has its sequence number too; rows of earlier releases lack it and are reported as before.

Evidence: a_ticket_that_was_accepted_keeps_its_sequence_number failed before (2 instead of 1).

--- a/src/ticket/ticket_submit.c
+++ b/src/ticket/ticket_submit.c
@@ -6,6 +6,7 @@
 
 #include <talloc.h>
 
+#include "core/json_integer.h"
 #include "ticket/ticket_objects.h"
 
 #define PAGE_ROWS    500
@@ -23,11 +24,14 @@
   int64_t head_version;
   bool number_reused;    /* a ticket with this number and other content was accepted */
   bool already_accepted; /* a ticket with this number and the same content was accepted */
+  int64_t accepted_seq;  /* its sequence number; 0: its row, of an earlier release, does not tell */
   char *page_start;      /* where the page being read starts, unless it is the first */
   int attempts;
   bool may_be_accepted; /* a transaction was sent whose outcome is unknown */
 } Submission;
 
+static const IntegerRange SEQUENCE_NUMBERS = { 0, INT64_MAX };
+
 static void read_rows (Submission *s);
 
 const char *
@@ -138,7 +142,7 @@
 check_ticket (Submission *s)
 {
   SubmitResult done = { .status = s->may_be_accepted ? SUBMIT_ACCEPTED : SUBMIT_ALREADY_ACCEPTED,
-                        .seq = s->head.seq };
+                        .seq = s->accepted_seq > 0 ? s->accepted_seq : s->head.seq };
 
   if (s->already_accepted)
     {
@@ -225,8 +229,9 @@
   for (size_t i = 0; i < t->n_objects; i++)
     writes[txn.n_writes++]
         = make_write (tmp, t->objects[i].key, object_row_value (tmp, s, &t->objects[i]));
-  writes[txn.n_writes++]
-      = make_write (tmp, number, talloc_asprintf (tmp, "{\"hash\":\"%s\"}", t->hash));
+  writes[txn.n_writes++] = make_write (
+      tmp, number,
+      talloc_asprintf (tmp, "{\"hash\":\"%s\",\"seq\":%" PRId64 "}", t->hash, s->head.seq + 1));
   writes[txn.n_writes++]
       = make_write (tmp, TICKET_HEAD_ROW,
                     talloc_asprintf (tmp, "{\"seq\":%" PRId64 ",\"ticket\":%" PRIu64 "}",
@@ -247,6 +252,7 @@
     {
       s->already_accepted = hash && !strcmp (hash, s->ticket->hash);
       s->number_reused = !s->already_accepted;
+      s->accepted_seq = json_integer_limited (json_object_get (json, "seq"), SEQUENCE_NUMBERS, 0);
     }
   json_decref (json);
 }
@@ -306,6 +312,7 @@
   s->head_version = 0;
   s->already_accepted = false;
   s->number_reused = false;
+  s->accepted_seq = 0;
   store_range (s->options.store, s, &range, on_page, s);
 }
 
--- a/src/ticket/ticket_submit.h
+++ b/src/ticket/ticket_submit.h
@@ -24,8 +24,7 @@
 typedef struct
 {
   SubmitStatus status;
-  /** Sequence number of the ticket, if accepted. If that became known only by reading the rows, that of
-   * the ticket accepted last. */
+  /** Sequence number of the ticket, if accepted; of the one accepted last if an earlier release has accepted this one. */
   int64_t seq;
   const char *object;   /* row name of the object in conflict with another ticket, else NULL */
   int64_t other_ticket; /* number of the ticket that wrote that object */
--- a/tests/unit/test_ticket.c
+++ b/tests/unit/test_ticket.c
@@ -4,7 +4,10 @@
 
 #include <talloc.h>
 
+#include "fakes/fake_store.h"
+#include "fakes/virtual_timers.h"
 #include "ticket/ticket_objects.h"
+#include "ticket/ticket_submit.h"
 #include "ticket/ticket.h"
 
 #define HASH_A "sha256:aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
@@ -279,6 +282,62 @@
   talloc_free (ctx);
 }
 
+/* --- Submission -------------------------------------------------------------------------- */
+
+typedef struct
+{
+  VirtualTimers *vt;
+  FakeStoreClient *client;
+  Rng rng;
+  bool finished;
+  SubmitStatus status;
+  int64_t seq;
+} Submitter;
+
+static void
+on_submitted (void *data, const SubmitResult *result)
+{
+  Submitter *s = data;
+
+  s->finished = true;
+  s->status = result->status;
+  s->seq = result->seq;
+}
+
+static void
+submit (Submitter *s, const char *text)
+{
+  void *ctx = talloc_new (NULL);
+  SubmitOptions options = { &s->client->store, virtual_timers_service (s->vt), &s->rng };
+
+  s->finished = false;
+  ticket_submit (ctx, &options, parse (ctx, text), on_submitted, s);
+  virtual_timers_run (s->vt, timers_now_ms (options.timers) + 60000);
+  CU_ASSERT_TRUE (s->finished);
+  talloc_free (ctx);
+}
+
+/* Guards against the sequence number of another ticket, when a ticket is submitted once more, or its acceptance is found by
+ * reading the rows because the reply was lost. */
+static void
+a_ticket_that_was_accepted_keeps_its_sequence_number (void)
+{
+  static const char FIRST[] = "ticket = 7\n[[account]]\nname = \"a\"\n";
+  static const char SECOND[] = "ticket = 8\n[[account]]\nname = \"b\"\n";
+  Submitter s = { .vt = virtual_timers_new (NULL, 1000) };
+
+  rng_seed (&s.rng, 1);
+  s.client = fake_store_client_new (fake_store_new (s.vt, virtual_timers_service (s.vt), &s.rng));
+  submit (&s, FIRST);
+  CU_ASSERT (s.status == SUBMIT_ACCEPTED && s.seq == 1);
+  submit (&s, SECOND);
+  CU_ASSERT (s.status == SUBMIT_ACCEPTED && s.seq == 2);
+  submit (&s, FIRST);
+  CU_ASSERT_EQUAL (s.status, SUBMIT_ALREADY_ACCEPTED);
+  CU_ASSERT_EQUAL (s.seq, 1);
+  talloc_free (s.vt);
+}
+
 int
 main (void)
 {
@@ -290,6 +349,8 @@
     { "every_field_is_applied_to_the_configuration", every_field_is_applied_to_the_configuration },
     { "planned_stops_drain_servers", planned_stops_drain_servers },
     { "malformed_rows_are_ignored", malformed_rows_are_ignored },
+    { "a_ticket_that_was_accepted_keeps_its_sequence_number",
+      a_ticket_that_was_accepted_keeps_its_sequence_number },
   };
 
   return harness_run ("ticket", CASES, sizeof CASES / sizeof CASES[0]);
