fleet: read all pages of the hosts' table

Hosts whose rows came after the first 500 of the table were never found, and none was forgotten when it deregistered: only one page was read. A large fleet has that many rows, and any number of them may have been left by another program, whose rows count although they are of no host.

The registry reads page after page; a host has deregistered if a whole read did not find its row. A heartbeat does not start a second read while one is in progress.

Evidence: hosts_behind_the_first_page_are_found_and_forgotten (1,200 unreadable rows before two hosts) failed in both checks before.

--- a/src/fleet/registry.c
+++ b/src/fleet/registry.c
@@ -26,7 +26,7 @@
 /* A host without heartbeats may be cut off from the store and still serve clients for this long. */
 #define SILENT_MS (60 * 60 * 1000)
 
-#define MAX_HOST_ROWS 500
+#define PAGE_ROWS 500
 
 typedef struct
 {
@@ -35,6 +35,7 @@
   char *data_centre;
   uint64_t incarnation;
   int64_t version;
+  uint64_t last_read; /* number of the last read that found its row */
   int64_t changed_ms; /* when a change of the row was last read */
   bool renewed;       /* a change of the row was read after the first time */
   bool expired;       /* the row still exists, but the host is regarded as stopped */
@@ -47,6 +48,9 @@
   GHashTable *known_hosts; /* KnownHost by host name */
   RegistryHost *hosts;
   size_t n_hosts;
+  StoreCall *read_call; /* NULL: no read of the rows in progress */
+  char *page_start;     /* first name of the page being read; NULL: the first page */
+  uint64_t reads;       /* number of the current or last read */
   int heartbeats;
   bool deregistered;
   bool changed; /* since the host list was last rebuilt */
@@ -131,11 +135,16 @@
   KnownHost *host = g_hash_table_lookup (r->known_hosts, row->key.name);
   json_t *json;
 
+  if (host)
+    host->last_read = r->reads;
   if (host && host->version == row->version)
     return;
   json = registry_row_parse (row);
   if (json && !host)
-    host = add_known_host (r, row->key.name);
+    {
+      host = add_known_host (r, row->key.name);
+      host->last_read = r->reads;
+    }
   if (json)
     {
       r->changed |= update_text (&host->peer_address, json, "peers");
@@ -160,7 +169,7 @@
 
 /* Removes hosts whose rows are missing: a host deletes its row when it deregisters. */
 static void
-remove_deregistered (Registry *r, const StoreReply *reply)
+remove_deregistered (Registry *r)
 {
   GHashTableIter iter;
   gpointer value;
@@ -168,23 +177,19 @@
   g_hash_table_iter_init (&iter, r->known_hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      bool found = false;
-
-      for (size_t i = 0; i < reply->n_rows && !found; i++)
-        found = !strcmp (reply->rows[i].key.name, ((KnownHost *)value)->name);
-      if (found)
+      if (((KnownHost *)value)->last_read == r->reads)
         continue;
       g_hash_table_iter_remove (&iter);
       r->changed = true;
     }
 }
 
-/* A missing row means that its host has deregistered, unless the reply is partial or the store was restored so
- * recently that lost rows may not be rewritten yet. */
+/* A missing row means that its host has deregistered, unless the store was restored so recently that lost rows may not
+ * be rewritten yet. */
 static bool
-may_remove_missing (const Registry *r, const StoreReply *reply, int64_t now)
+may_remove_missing (const Registry *r, int64_t now)
 {
-  return !reply->has_more && (r->restored_ms == 0 || now - r->restored_ms >= REWRITE_GRACE_MS);
+  return r->restored_ms == 0 || now - r->restored_ms >= REWRITE_GRACE_MS;
 }
 
 static void
@@ -213,18 +218,38 @@
   r->options.changed (r->options.data);
 }
 
+static void on_rows_read (void *data, const StoreReply *reply);
+
+static void
+read_page (Registry *r)
+{
+  StoreRange range
+      = { .table = REGISTRY_TABLE, .partition = "", .from = r->page_start, .limit = PAGE_ROWS };
+
+  r->read_call = store_range (r->options.store, r, &range, on_rows_read, r);
+}
+
 static void
 on_rows_read (void *data, const StoreReply *reply)
 {
   Registry *r = data;
   int64_t now = timers_now_ms (r->options.timers);
+  const char *last = store_reply_last_name (reply);
 
+  r->read_call = NULL;
   if (reply->result != STORE_DONE)
     return;
   for (size_t i = 0; i < reply->n_rows; i++)
     apply_row (r, &reply->rows[i], now);
-  if (may_remove_missing (r, reply, now))
-    remove_deregistered (r, reply);
+  if (reply->has_more && last)
+    {
+      talloc_free (r->page_start);
+      r->page_start = talloc_asprintf (r, "%s\x01", last);
+      read_page (r);
+      return;
+    }
+  if (may_remove_missing (r, now))
+    remove_deregistered (r);
   expire_hosts (r, now);
   if (r->changed)
     rebuild_host_list (r);
@@ -234,10 +259,12 @@
 on_heartbeat_written (void *data, const StoreReply *reply)
 {
   Registry *r = data;
-  StoreRange range = { .table = REGISTRY_TABLE, .partition = "", .limit = MAX_HOST_ROWS };
 
-  if (reply->result == STORE_DONE && !r->deregistered)
-    store_range (r->options.store, r, &range, on_rows_read, r);
+  if (reply->result != STORE_DONE || r->deregistered || r->read_call)
+    return;
+  TALLOC_FREE (r->page_start);
+  r->reads++;
+  read_page (r);
 }
 
 static void
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -94,6 +94,15 @@
   const char *detail; /* for the log; may be NULL */
 } StoreReply;
 
+/** @return the name after which the next page of a range begins; NULL if the reply has no row. */
+static inline const char *
+store_reply_last_name (const StoreReply *reply)
+{
+  if (reply->last_name)
+    return reply->last_name;
+  return reply->n_rows > 0 ? reply->rows[reply->n_rows - 1].key.name : NULL;
+}
+
 typedef void (*StoreFn) (void *data, const StoreReply *reply);
 
 typedef struct
--- a/src/store/store_watch.c
+++ b/src/store/store_watch.c
@@ -251,20 +251,11 @@
   read_feed (w);
 }
 
-/* @return the name after which the next page begins; NULL if there is none. */
-static const char *
-last_name (const StoreReply *reply)
-{
-  if (reply->last_name)
-    return reply->last_name;
-  return reply->n_rows > 0 ? reply->rows[reply->n_rows - 1].key.name : NULL;
-}
-
 static void
 on_page (void *data, const StoreReply *reply)
 {
   StoreWatch *w = data;
-  const char *last = last_name (reply);
+  const char *last = store_reply_last_name (reply);
 
   if (reply->result != STORE_DONE)
     {
--- a/tests/unit/test_registry.c
+++ b/tests/unit/test_registry.c
@@ -97,6 +97,39 @@
   talloc_free (many);
 }
 
+static void
+put_row (RegistryFixture *f, const char *name, const char *value)
+{
+  fake_store_put (f->store, &(StoreKey){ REGISTRY_TABLE, "", name }, value);
+}
+
+/* Guards against hosts that are not found, or found for ever, because there are more rows before theirs than one reply
+ * has: of a large fleet, or left by another program. */
+static void
+hosts_behind_the_first_page_are_found_and_forgotten (void)
+{
+  static const char *const ODD[] = { "{", "[1]", "{\"operators\":7}", "" };
+  RegistryFixture *f = registry_fixture_new (2);
+
+  for (int i = 0; i < 1200; i++)
+    {
+      char name[24];
+
+      snprintf (name, sizeof name, "a-%d", i);
+      put_row (f, name, ODD[i % 4]);
+    }
+  run_ms (f, 12000);
+  put_host (f, 0, 1);
+  put_host (f, 1, 1);
+  run_ms (f, 12000);
+  CU_ASSERT_EQUAL (host_count (f), 3);
+  put_row (f, "other-0", NULL);
+  put_host (f, 1, 2);
+  run_ms (f, 12000);
+  CU_ASSERT_EQUAL (host_count (f), 2);
+  talloc_free (f);
+}
+
 /* Guards against a stopped host that still counts as a member, and against a host that expires while its heartbeats
  * continue. */
 static void
@@ -155,6 +188,8 @@
   static const TestCase CASES[] = {
     { "heartbeat_interval_grows_with_the_fleet", heartbeat_interval_grows_with_the_fleet },
     { "silent_hosts_count_for_an_hour", silent_hosts_count_for_an_hour },
+    { "hosts_behind_the_first_page_are_found_and_forgotten",
+      hosts_behind_the_first_page_are_found_and_forgotten },
     { "hosts_without_heartbeats_expire", hosts_without_heartbeats_expire },
   };
 
