tests: free a canned response only after its server has stopped

The thread sanitizer reported two races in test_odd_rows: the response that the canned server's thread sends was freed before that thread had ended. The fault was in the test; clean now with that sanitizer.

--- a/tests/unit/test_odd_rows.c
+++ b/tests/unit/test_odd_rows.c
@@ -51,7 +51,7 @@
   void *ctx = talloc_new (NULL);
   Loop *loop = loop_new (ctx);
   CannedServer server;
-  char *response = talloc_asprintf (ctx, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+  char *response = talloc_asprintf (NULL, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
                                     strlen (body), body);
   PlatformStoreOptions options = { .client = http_client_new (ctx, loop),
                                    .address = canned_server_start (ctx, &server, response),
@@ -66,6 +66,7 @@
   CU_ASSERT_TRUE (rows.finished);
   talloc_free (ctx);
   canned_server_stop (&server);
+  talloc_free (response);
   return rows;
 }
 
