budget: reclaim nothing if the last run was granted less than its ceiling

An account could get tokens without limit after a restart: a host that has returned more than it was granted has a negative grant in its row, and if its last ceiling was near the end of the type, the difference of the two overflowed to a large amount, which was taken off what all hosts are granted. Only another program's row of ceilings is known to hold such a ceiling; hosts publish what they use.

The two are compared before they are subtracted.

Evidence: a_host_reclaims_nothing_beyond_its_grant failed before in the release build (the account's grants fell below the 900 that others hold).

--- a/src/budget/grant_client_rows.c
+++ b/src/budget/grant_client_rows.c
@@ -83,8 +83,8 @@
 
   c->previously_spent = tokens_max (c->previously_spent, row->spent);
   /* A restored row may be older than a transaction that has already reclaimed the same tokens. */
-  if (ceiling >= 0 && !c->store_restored)
-    c->reclaimable = tokens_max (row->granted - ceiling, 0);
+  if (ceiling >= 0 && row->granted > ceiling && !c->store_restored)
+    c->reclaimable = row->granted - ceiling;
 }
 
 static void
--- a/tests/unit/test_odd_rows.c
+++ b/tests/unit/test_odd_rows.c
@@ -6,6 +6,7 @@
 #include <tevent.h>
 
 #include "budget/budget_rows.h"
+#include "budget_fixture.h"
 #include "canned_server.h"
 #include "fakes/fake_store.h"
 #include "fakes/virtual_timers.h"
@@ -309,6 +310,34 @@
   CU_ASSERT (budget_host_row_decode (&valid_host, &host) && host.seq == INT64_MAX);
 }
 
+/* Guards against an account that gets tokens without limit: a host that had returned more than it was granted reads, at its
+ * next start, a ceiling near the end of the type, and takes the difference back. */
+static void
+a_host_reclaims_nothing_beyond_its_grant (void)
+{
+  BudgetFixture *f = budget_fixture_new (1, 1);
+  char ceilings[200];
+  BudgetReservation reservation;
+
+  budget_fixture_kill (f, 0);
+  snprintf (ceilings, sizeof ceilings,
+            "{\"incarnation\":77,\"store_time_ms\":%lld,\"era\":0,\"ceilings\":{\"a\":"
+            "[9223372036854775807,0,9223372036854775807]}}",
+            (long long)timers_now_ms (f->timers) + FAKE_STORE_CLOCK_OFFSET_MS);
+  fake_store_put (f->store, &(StoreKey){ "ceilings", "host-0", "bounds" }, ceilings);
+  fake_store_put (f->store, &(StoreKey){ BUDGET_TABLE, "a", "host:host-0" },
+                  "{\"incarnation\":77,\"seq\":1,\"granted\":-5,\"spent\":5}");
+  fake_store_put (f->store, &(StoreKey){ BUDGET_TABLE, "a", BUDGET_ACCOUNT_ROW },
+                  "{\"granted\":900,\"limit\":1000,\"limit_version\":1}");
+  budget_fixture_start (f, 0);
+  budget_fixture_configure (f, "a", 1000, 1);
+  budget_fixture_reserve (f, 0, "a", 500, &reservation);
+  budget_fixture_run (f, 5000);
+  CU_ASSERT (reservation.decided && reservation.err != ERR_NONE);
+  CU_ASSERT (budget_fixture_granted (f, "a") >= 900);
+  talloc_free (f);
+}
+
 /* @return whether the row of the quarantine stops the requests with its key. */
 static bool
 row_stops_requests (const char *value)
@@ -362,6 +391,7 @@
     { "rows_in_other_partitions_name_no_server", rows_in_other_partitions_name_no_server },
     { "a_server_whose_row_becomes_odd_is_given_up", a_server_whose_row_becomes_odd_is_given_up },
     { "odd_rows_of_a_budget_are_rejected", odd_rows_of_a_budget_are_rejected },
+    { "a_host_reclaims_nothing_beyond_its_grant", a_host_reclaims_nothing_beyond_its_grant },
     { "odd_rows_of_the_quarantine_stop_nothing", odd_rows_of_the_quarantine_stop_nothing },
   };
 
