--- a/src/budget/grant_client_rows.c
+++ b/src/budget/grant_client_rows.c
@@ -83,8 +83,8 @@
 
   c->previously_spent = tokens_max (c->previously_spent, row->spent);
   /* A restored row may be older than a transaction that has already reclaimed the same tokens. */
-  if (ceiling >= 0 && !c->store_restored)
-    c->reclaimable = tokens_max (row->granted - ceiling, 0);
+  if (ceiling >= 0 && row->granted > ceiling && !c->store_restored)
+    c->reclaimable = row->granted - ceiling;
 }
 
 static void
@@ -154,7 +154,8 @@
   c->row_reconciled = grant_client_is_reconciled (c);
   if (!all_rows)
     return;
-  c->total_spent = total + c->previously_spent + c->account->spent - c->account->reported;
+  total = tokens_add_saturated (total, c->previously_spent);
+  c->total_spent = tokens_add_saturated (total, c->account->spent - c->account->reported);
   c->total_read_ms = now;
   c->totals_requested = false;
 }
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -1,5 +1,5 @@
 /* Internals of the relay: relay.c (budget, deadline, client), relay_attempt.c (server selection, backend
- * events, retries), relay_stream.c (stream events), relay_version.c (which version a stream is bound to), relay_cut.c (exchanges that were cut off), relay_finish.c (final response, settlement, log). */
+ * events, retries), relay_refusal.c (refusals of servers), relay_stream.c (stream events), relay_version.c (which version a stream is bound to), relay_resume.c (streams that are taken up), relay_cut.c (exchanges that were cut off), relay_finish.c (final response, settlement, log). */
 #pragma once
 
 #include "relay/charge.h"
@@ -10,6 +10,9 @@
 /* Including the terminating NUL; longer event ids are not stored. */
 #define EVENT_ID_BYTES 24
 
+/* Including the terminating NUL. Servers' ids are keys of the store, which have 200 bytes at most. */
+#define SERVER_ID_BYTES 201
+
 typedef enum
 {
   RELAY_RESERVING, /* waits for the version of its stream or the budget reservation */
@@ -75,6 +78,9 @@
   Attempt *attempt;
   char *tried[DISPATCH_MAX_TRIED]; /* ids of the servers of failed attempts */
   size_t n_tried;
+  uint64_t refused_at
+      [DISPATCH_MAX_TRIED]; /* hashes of the addresses whose servers stated that it did not run */
+  size_t n_refused_at;
   int sends;             /* attempts started */
   int runs;              /* attempts that may have run */
   bool response_started; /* part of the response was sent to the client */
@@ -91,8 +97,8 @@
   int64_t first_event_ms;
   int64_t last_event_ms;
   int64_t max_gap_ms;
-  char server[64];         /* id of the server of the latest attempt; for the log and error texts */
-  AssignmentLimits limits; /* of the choice of that server; for the log */
+  char server[SERVER_ID_BYTES];       /* id of the server of the latest attempt */
+  AssignmentLimits limits;            /* of the choice of that server; for the log */
   char version[SERVER_VERSION_BYTES]; /* of that server, as a word for the log */
   /* For the charge and the log. */
   ErrKind reason; /* why the request failed; ERR_NONE: the response was forwarded completely */
@@ -132,6 +138,10 @@
 /* The records of servers do not tell what wrote the events that were forwarded. */
 void relay_doubt_version (Relay *r);
 
+/* relay_refusal.c: takes a refusal back that may be one of an earlier exchange of its connection. To be called with each
+ * decoded head. */
+void relay_check_refusal (Relay *r, Attempt *a, BackendCall *call);
+
 /* relay_cut.c */
 void relay_set_keys (Relay *r);
 /* @param is_sent false: before its budget is reserved. @return whether the request may be sent to a server. */
