quarantine: stop in doubt a request under which servers end together

Cause: ends within 500 ms of each other count once, as they may be a loss of power.

Ruled out: counting an end whose exchange was sent after the earlier one. At a high rate all servers run the request when the first one ends, exactly as at a loss of power, and a popular part is sent again after each end in any case.

Change: nothing that hosts see tells the two causes apart before the servers are back, so one trial has to. Three servers that end under one whole request, which none answers for 500 ms after the last proof, stop it in doubt: all as for other stopped requests, but the first trial comes after 1 s (then 1 and 10 minutes, no more trials than before). The row says so. A trial that finds no server or a refused connection is not used up, or it would be lost while the servers are away. Without a row, as the store is away, such a stop ends after 10 s. Parts are never stopped so, and the 500 ms, three ends and all tests on sound requests are as they were.

--- a/src/quarantine/evidence.h
+++ b/src/quarantine/evidence.h
@@ -6,7 +6,7 @@
  * An exchange that is cut off before its answer is known to be sound is recorded for each of its keys. The record
  * counts once its server is proved to have ended. A sound answer to a request that was sent later removes the record
  * from the keys of that request. A key with ends at three different times is to blame, unless so many keys are that the
- * servers must be. No I/O, no clock. Lock "quarantine". */
+ * servers must be. One request under which three servers ended at fewer times is to blame in doubt. No I/O, no clock. Lock "quarantine". */
 #pragma once
 
 #include <stddef.h>
@@ -40,6 +40,7 @@
   uint64_t instances[EVIDENCE_MAX_RECORDS]; /* of the servers that ended, hashes */
   size_t n_instances;
   int64_t first_ms; /* the first of the ends */
+  bool in_doubt;    /* the servers may have ended together, for a reason of their own */
 } EvidenceVerdict;
 
 /** @return a talloc object under @p ctx that keeps at most @p max_keys keys. */
--- a/src/quarantine/evidence_judge.c
+++ b/src/quarantine/evidence_judge.c
@@ -3,6 +3,9 @@
 /* If several keys may be to blame, sound answers to the innocent ones are waited for. */
 #define SETTLE_MS 1000
 
+/* As SETTLE_MS, if one request is to blame in doubt: other servers may still answer it. */
+#define DOUBT_SETTLE_MS 500
+
 /* Time in which a sound answer can clear a key before other hosts are told of its last end but one. */
 #define REPORT_DELAY_MS 500
 
@@ -68,8 +71,28 @@
     b->groups[b->n_groups++] = s;
 }
 
+static bool
+may_be_to_blame (const Suspect *s)
+{
+  return s->n_records >= EVIDENCE_ENDS && evidence_count_ends (s) >= EVIDENCE_ENDS;
+}
+
+/* Parts are common to what runs at many servers, so that servers which end together say nothing about them. That several
+ * ran the very same request, and none has answered it since, is suspicious. */
+static bool
+may_be_to_blame_in_doubt (const Suspect *s)
+{
+  size_t n = 0;
+
+  if (s->key.kind != QUARANTINE_REQUEST)
+    return false;
+  for (size_t i = 0; i < s->n_records; i++)
+    n += s->records[i].ended;
+  return n >= EVIDENCE_ENDS;
+}
+
 static Blamed
-find_blamed (Evidence *e, int64_t now_ms)
+find_blamed (Evidence *e, bool (*is_blamed) (const Suspect *), int64_t now_ms)
 {
   Blamed b = { 0 };
 
@@ -77,7 +100,7 @@
     {
       Suspect *s = LIST_ENTRY (n, Suspect, node);
 
-      if (s->n_records < EVIDENCE_ENDS || evidence_count_ends (s) < EVIDENCE_ENDS)
+      if (!is_blamed (s))
         continue;
       if (!s->blamed_ms)
         s->blamed_ms = now_ms;
@@ -147,17 +170,31 @@
   return false;
 }
 
+static int64_t
+settle_ms (const Blamed *b, bool in_doubt)
+{
+  if (b->n_groups > 1)
+    return SETTLE_MS;
+  return in_doubt ? DOUBT_SETTLE_MS : 0;
+}
+
 bool
 evidence_judge (Evidence *e, int64_t now_ms, EvidenceVerdict *verdict, size_t *n_blamed)
 {
-  Blamed b = find_blamed (e, now_ms);
+  Blamed b = find_blamed (e, may_be_to_blame, now_ms);
+  bool in_doubt = b.n_groups == 0;
 
+  if (in_doubt)
+    b = find_blamed (e, may_be_to_blame_in_doubt, now_ms);
   *n_blamed = b.n_groups;
   if (b.n_groups == 0 || b.n_groups > EVIDENCE_MAX_BLAMED)
     return false;
-  if (b.n_groups > 1 && now_ms < b.worst->blamed_ms + SETTLE_MS)
+  if (now_ms < b.worst->blamed_ms + settle_ms (&b, in_doubt))
     return false;
   *verdict = verdict_on (b.worst);
+  verdict->in_doubt = in_doubt;
+  if (in_doubt)
+    verdict->ends = EVIDENCE_ENDS;
   evidence_free_suspect (e, b.worst);
   remove_explained (e, verdict);
   return true;
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -139,8 +139,8 @@
     len += (size_t)snprintf (servers + len, sizeof servers - len, "%s%" PRIx64, i > 0 ? "," : "",
                              v->instances[i]);
   log_event (LOG_LEVEL_WARNING, "quarantine", "stopped",
-             "kind=%s key=%" PRIx64 " ends=%d instances=%s source=evidence",
-             quarantine_kind_name (v->key.kind), v->key.id, v->ends, servers);
+             "kind=%s key=%" PRIx64 " ends=%d in_doubt=%d instances=%s source=evidence",
+             quarantine_kind_name (v->key.kind), v->key.id, v->ends, v->in_doubt, servers);
 }
 
 static void
@@ -193,6 +193,7 @@
 {
   StoppedCheck check = STOPPED_NOT;
 
+  refusal->is_trial = false;
   if (atomic_load (&q->n_keys) == 0)
     return true;
   pthread_mutex_lock (&q->lock);
@@ -200,6 +201,7 @@
     {
       refusal->key = keys[i];
       check = stopped_keys_check (q->stopped, keys[i], is_sent, now_ms, &refusal->retry_after_ms);
+      refusal->is_trial |= check == STOPPED_TRIAL;
       if (check == STOPPED_TRIAL && is_sent)
         log_event (LOG_LEVEL_NOTICE, "quarantine", "trial", "kind=%s key=%" PRIx64,
                    quarantine_kind_name (keys[i].kind), keys[i].id);
@@ -208,6 +210,15 @@
   return check != STOPPED_REFUSE;
 }
 
+void
+quarantine_return_trial (Quarantine *q, const QuarantineKey *keys, size_t n_keys)
+{
+  pthread_mutex_lock (&q->lock);
+  for (size_t i = 0; i < n_keys; i++)
+    stopped_keys_return_trial (q->stopped, keys[i]);
+  pthread_mutex_unlock (&q->lock);
+}
+
 /* --- Evidence ---------------------------------------------------------------------------- */
 
 /* A request with a stopped key tells nothing of its other keys. */
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -50,11 +50,12 @@
   void *data;
 } QuarantineOptions;
 
-/** Why a request must not be sent. */
+/** Why a request must not be sent, or only as a trial. */
 typedef struct
 {
   QuarantineKey key;
   int64_t retry_after_ms;
+  bool is_trial; /* it may be sent, to show whether its keys are sound again */
 } QuarantineRefusal;
 
 /** @return a talloc object under @p ctx. */
@@ -68,6 +69,9 @@
 bool quarantine_allows (Quarantine *quarantine, const QuarantineKey *keys, size_t n_keys,
                         bool is_sent, int64_t now_ms, QuarantineRefusal *refusal);
 
+/** A trial that quarantine_allows() let pass has reached no server. */
+void quarantine_return_trial (Quarantine *quarantine, const QuarantineKey *keys, size_t n_keys);
+
 /** A server, or something before it, has ended an exchange of this host before its answer was complete. */
 void quarantine_add_cut (Quarantine *quarantine, const QuarantineCut *cut, int64_t now_ms);
 
--- a/src/quarantine/quarantine_rows.c
+++ b/src/quarantine/quarantine_rows.c
@@ -64,7 +64,8 @@
   size_t i;
 
   *row = (StoppedRow){ .ends = (int)json_integer_value (ends),
-                       .trials = (int)json_integer_value (trials) };
+                       .trials = (int)json_integer_value (trials),
+                       .in_doubt = json_is_true (json_object_get (json, "in_doubt")) };
   if (row->ends < 1 || row->trials < 0 || !json_is_integer (trials))
     return false;
   json_array_foreach (instances, i, instance)
@@ -130,8 +131,8 @@
 static char *
 row_json (const void *ctx, const StoppedRow *row)
 {
-  char *text
-      = talloc_asprintf (ctx, "{\"ends\":%d,\"trials\":%d,\"instances\":[", row->ends, row->trials);
+  char *text = talloc_asprintf (ctx, "{\"ends\":%d,\"trials\":%d,%s\"instances\":[", row->ends,
+                                row->trials, row->in_doubt ? "\"in_doubt\":true," : "");
 
   for (size_t i = 0; i < row->n_instances; i++)
     text = talloc_asprintf_append (text, "%s\"%" PRIx64 "\"", i > 0 ? "," : "", row->instances[i]);
--- a/src/quarantine/stopped_keys.c
+++ b/src/quarantine/stopped_keys.c
@@ -8,8 +8,14 @@
 /* From one trial to the next. After the last one only the end of the lifetime makes the key sound again. */
 static const int64_t TRIAL_INTERVALS_MS[] = { 60000, 600000, 6000000 };
 
+/* As many trials, the first of them early: the servers may have lost power together under sound requests. */
+static const int64_t DOUBT_TRIAL_INTERVALS_MS[] = { 1000, 60000, 600000 };
+
 #define N_TRIALS (int)(sizeof TRIAL_INTERVALS_MS / sizeof TRIAL_INTERVALS_MS[0])
 
+/* Without a row there are no trials: a key that is stopped in doubt and has none is sent again after this time. */
+#define DOUBT_WITHOUT_ROW_MS 10000
+
 #define STOPPED_LIFETIME_MS (24 * 60 * 60 * 1000)
 
 /* How long a host that has taken a trial waits for a request. */
@@ -42,6 +48,7 @@
   int64_t row_ms; /* when this host learned of that version */
   bool wants_trial;
   int64_t trial_until_ms; /* until then this host may send one request */
+  int64_t used_trial_until_ms;
   bool writing;
   int64_t write_due_ms;
 } StoppedKey;
@@ -135,7 +142,7 @@
   if (!k)
     return false;
   k->state = verdict->ends < EVIDENCE_ENDS ? KEY_SUSPECTED : KEY_STOPPED;
-  k->row = (StoppedRow){ .ends = verdict->ends };
+  k->row = (StoppedRow){ .ends = verdict->ends, .in_doubt = verdict->in_doubt };
   if (k->state == KEY_SUSPECTED)
     set_instances (&k->row, verdict);
   k->first_ms = verdict->first_ms;
@@ -144,18 +151,24 @@
   return true;
 }
 
+static int64_t
+trial_interval_ms (const StoppedKey *k)
+{
+  return (k->row.in_doubt ? DOUBT_TRIAL_INTERVALS_MS : TRIAL_INTERVALS_MS)[k->row.trials];
+}
+
 static int64_t
 next_trial_ms (const StoppedKey *k)
 {
   if (k->row.trials >= N_TRIALS)
     return k->stopped_ms + STOPPED_LIFETIME_MS;
-  return k->row_ms + TRIAL_INTERVALS_MS[k->row.trials];
+  return k->row_ms + trial_interval_ms (k);
 }
 
 static int64_t
 retry_after_ms (const StoppedKey *k, int64_t now_ms)
 {
-  int64_t due_ms = k->row_version > 0 ? next_trial_ms (k) : now_ms + TRIAL_INTERVALS_MS[0];
+  int64_t due_ms = k->row_version > 0 ? next_trial_ms (k) : now_ms + trial_interval_ms (k);
 
   return due_ms > now_ms + WRITE_RETRY_MS ? due_ms - now_ms : WRITE_RETRY_MS;
 }
@@ -171,7 +184,10 @@
   if (now_ms < k->trial_until_ms)
     {
       if (is_sent)
-        k->trial_until_ms = 0;
+        {
+          k->used_trial_until_ms = k->trial_until_ms;
+          k->trial_until_ms = 0;
+        }
       return STOPPED_TRIAL;
     }
   if (k->row_version > 0 && k->row.trials < N_TRIALS && now_ms >= next_trial_ms (k))
@@ -180,6 +196,17 @@
   return STOPPED_REFUSE;
 }
 
+void
+stopped_keys_return_trial (StoppedKeys *s, QuarantineKey key)
+{
+  StoppedKey *k = find (s, key);
+
+  if (!k || k->state != KEY_STOPPED || k->used_trial_until_ms == 0)
+    return;
+  k->trial_until_ms = k->used_trial_until_ms;
+  k->used_trial_until_ms = 0;
+}
+
 static void
 lift (StoppedKeys *s, StoppedKey *k, int64_t write_due_ms)
 {
@@ -275,6 +302,8 @@
   int64_t age_ms = now_ms - k->stopped_ms;
 
   return (k->state == KEY_STOPPED && age_ms >= STOPPED_LIFETIME_MS)
+         || (k->state == KEY_STOPPED && k->row.in_doubt && k->row_version == 0
+             && age_ms >= DOUBT_WITHOUT_ROW_MS)
          || (k->state == KEY_SUSPECTED && age_ms >= SUSPECTED_LIFETIME_MS);
 }
 
--- a/src/quarantine/stopped_keys.h
+++ b/src/quarantine/stopped_keys.h
@@ -22,6 +22,7 @@
 {
   int ends; /* below EVIDENCE_ENDS: the key is only suspected */
   int trials;
+  bool in_doubt;                         /* as in the verdict: the first trial comes early */
   uint64_t instances[EVIDENCE_ENDS - 1]; /* of a suspected key, hashes of the servers that ended */
   size_t n_instances;
 } StoppedRow;
@@ -67,6 +68,9 @@
 StoppedCheck stopped_keys_check (StoppedKeys *stopped, QuarantineKey key, bool is_sent,
                                  int64_t now_ms, int64_t *retry_after_ms);
 
+/** The trial that was used up has reached no server: another request may be sent instead. */
+void stopped_keys_return_trial (StoppedKeys *stopped, QuarantineKey key);
+
 /** A request with the key that was sent at @p sent_ms has a sound answer. @return whether the key was stopped
  * and is no longer. */
 bool stopped_keys_lift (StoppedKeys *stopped, QuarantineKey key, int64_t sent_ms,
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -87,6 +87,7 @@
                    : NULL;
   if (!assignment)
     {
+      relay_return_trial (r);
       relay_finish_error (r, &err);
       return;
     }
@@ -169,6 +170,8 @@
   Err err = ERR_INIT;
 
   a->call = NULL;
+  if (point == FAIL_BEFORE_CONNECT || point == FAIL_CONNECT)
+    relay_return_trial (r);
   relay_end_attempt (r, assignment_result (a, point));
   if (!failure_proves_not_run (point))
     r->runs++;
--- a/src/relay/relay_cut.c
+++ b/src/relay/relay_cut.c
@@ -44,12 +44,14 @@
 }
 
 bool
-relay_check_quarantine (const Relay *r, bool is_sent, Err *err)
+relay_check_quarantine (Relay *r, bool is_sent, Err *err)
 {
   QuarantineRefusal refusal;
+  bool allowed = quarantine_allows (r->deps->quarantine, r->keys, r->n_keys, is_sent,
+                                    timers_now_ms (r->deps->timers), &refusal);
 
-  if (quarantine_allows (r->deps->quarantine, r->keys, r->n_keys, is_sent,
-                         timers_now_ms (r->deps->timers), &refusal))
+  r->is_trial = is_sent && allowed && refusal.is_trial;
+  if (allowed)
     return true;
   err_set (err, ERR_QUARANTINED, "servers have ended under requests with %s %" PRIx64,
            quarantine_kind_name (refusal.key.kind), refusal.key.id);
@@ -57,6 +59,14 @@
   return false;
 }
 
+void
+relay_return_trial (Relay *r)
+{
+  if (r->is_trial)
+    quarantine_return_trial (r->deps->quarantine, r->keys, r->n_keys);
+  r->is_trial = false;
+}
+
 void
 relay_report_sound (const Relay *r, Attempt *a)
 {
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -62,6 +62,7 @@
   uint64_t fingerprint; /* the same if the same request comes again */
   QuarantineKey *keys;  /* what it has in common with other requests */
   size_t n_keys;
+  bool is_trial; /* sent to show whether its keys are sound again */
   Attempt *attempt;
   char *tried[DISPATCH_MAX_TRIED]; /* ids of the servers of failed attempts */
   size_t n_tried;
@@ -91,7 +92,9 @@
 /* relay_cut.c */
 void relay_set_keys (Relay *r);
 /* @param is_sent false: before its budget is reserved. @return whether the request may be sent to a server. */
-bool relay_check_quarantine (const Relay *r, bool is_sent, Err *err);
+bool relay_check_quarantine (Relay *r, bool is_sent, Err *err);
+/* Has reached no server. */
+void relay_return_trial (Relay *r);
 /* @return whether the response shows by itself that it is complete, rather than by the end of its connection. */
 bool relay_has_provable_end (const Attempt *a);
 /* The answer has come so far that its server will not end under the request. */
--- a/tests/unit/crash_fleet.c
+++ b/tests/unit/crash_fleet.c
@@ -60,7 +60,10 @@
 
   (void)headers, (void)n, (void)body, (void)len;
   if (r->crashes)
-    r->fleet->last_status = status;
+    {
+      r->fleet->last_status = status;
+      r->fleet->part_refused += r->sends == 0;
+    }
   else if (r->sends == 0)
     r->fleet->counts.refused++;
 }
--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -77,6 +77,7 @@
   bool part_is_sound; /* its requests are answered */
   FakeStore *store;
   int part_answered; /* requests with the part that were answered completely */
+  int part_refused;  /* by the host, without being sent */
   int64_t next_request_id;
   GArray *crashes;  /* int64_t: when a server ended under such a request */
   GArray *arrivals; /* int64_t: when such a request reached a server that runs */
--- a/tests/unit/test_evidence.c
+++ b/tests/unit/test_evidence.c
@@ -115,6 +115,53 @@
   talloc_free (e);
 }
 
+/* Three servers end together under sends of the same request. */
+static Evidence *
+end_under_same_request (void)
+{
+  Evidence *e = evidence_new (NULL, MAX_KEYS);
+  QuarantineKey keys[] = { part (FIRST_PART), { QUARANTINE_REQUEST, GUILTY_PART } };
+
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      EvidenceCut c
+          = { .keys = keys, .n_keys = 2, .instance = i, .request = i, .cut_ms = 1000 + (int64_t)i };
+
+      evidence_add_cut (e, &c);
+      evidence_add_end (e, i, c.cut_ms);
+    }
+  return e;
+}
+
+/* Guards against a request that ends all servers of a service at once and is then sent as before. */
+static void
+servers_that_end_together_under_the_same_request_blame_it_in_doubt (void)
+{
+  Evidence *e = end_under_same_request ();
+  EvidenceVerdict v;
+  size_t n;
+
+  CU_ASSERT_EQUAL (judge (e, 1003), 0);
+  CU_ASSERT_EQUAL (judge (e, 1502), 0);
+  CU_ASSERT (evidence_judge (e, 1503, &v, &n));
+  CU_ASSERT_EQUAL (v.key.kind, QUARANTINE_REQUEST);
+  CU_ASSERT (v.in_doubt);
+  CU_ASSERT_EQUAL (judge (e, 9000), 0);
+  talloc_free (e);
+}
+
+static void
+sound_answer_clears_the_same_request (void)
+{
+  Evidence *e = end_under_same_request ();
+  QuarantineKey key = { QUARANTINE_REQUEST, GUILTY_PART };
+
+  CU_ASSERT_EQUAL (judge (e, 1003), 0);
+  CU_ASSERT (evidence_add_sound (e, &key, 1, 1500));
+  CU_ASSERT_EQUAL (judge (e, 9000), 0);
+  talloc_free (e);
+}
+
 /* Guards against a server that only refuses connections for a while, and whose resets then count as ends. */
 static void
 server_that_answers_again_has_not_ended (void)
@@ -245,6 +292,9 @@
     { "servers_that_end_together_count_once", servers_that_end_together_count_once },
     { "ends_under_one_request_that_is_repeated_count_each",
       ends_under_one_request_that_is_repeated_count_each },
+    { "servers_that_end_together_under_the_same_request_blame_it_in_doubt",
+      servers_that_end_together_under_the_same_request_blame_it_in_doubt },
+    { "sound_answer_clears_the_same_request", sound_answer_clears_the_same_request },
     { "server_that_answers_again_has_not_ended", server_that_answers_again_has_not_ended },
     { "server_without_known_starts_counts_each_time",
       server_without_known_starts_counts_each_time },
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -14,6 +14,13 @@
 #define REPEATED     3 /* of one request */
 #define ALLOWED_MORE 3
 
+/* From the end of the servers of a fleet to their next start, and from there until a sound request is sent again. */
+#define RESTART_MS   3000
+#define COME_BACK_MS 3000
+
+/* Time in which a request that is stopped in doubt is sent again if the store has no row of it, at most. */
+#define DOUBT_MS 12000
+
 static const CrashFleetOptions FLEETS[] = {
   { .hosts = 9, .servers = 18, .data_centres = 3, .requests_per_s = 150, .seed = 1 },
   { .hosts = 84, .servers = 60, .data_centres = 6, .requests_per_s = 440, .seed = 2 },
@@ -30,7 +37,11 @@
 /* Of requests with a part that crashes servers, a second. */
 static const double RATES[] = { 0.5, 1.5, 10 };
 
-#define N_RATES (sizeof RATES / sizeof RATES[0])
+/* Of one request that comes again. */
+static const double HIGH_RATES[] = { 3, 10, 30 };
+
+#define N_HIGH_RATES (sizeof HIGH_RATES / sizeof HIGH_RATES[0])
+#define N_RATES      (sizeof RATES / sizeof RATES[0])
 
 /* Enough for a dozen such requests. */
 static int64_t
@@ -234,6 +245,133 @@
   check_one_request_is_stopped (true, 1);
 }
 
+typedef enum
+{
+  UNDISTURBED,
+  OTHER_END,  /* a server ends for another reason */
+  SPLIT,      /* the data centres do not hear each other for a while */
+  START_AGAIN /* all hosts start again */
+} Disturbance;
+
+static void
+disturb (CrashFleet *f, Disturbance what)
+{
+  if (what == OTHER_END)
+    crash_fleet_end_server (f, 0);
+  if (what == SPLIT)
+    crash_fleet_split (f, f->options.data_centres);
+  if (what == START_AGAIN)
+    crash_fleet_restart_hosts (f);
+  crash_fleet_run (f, 3000);
+  crash_fleet_split (f, 1);
+}
+
+/* A service of three servers gets one request again and again, at any host. */
+static void
+play_small_service (uint64_t seed, double crashing_per_s, Disturbance what)
+{
+  CrashFleetOptions options
+      = { .hosts = 9, .servers = 3, .data_centres = 3, .requests_per_s = 30, .seed = seed };
+  CrashFleet *f = crash_fleet_new (&options);
+
+  f->one_request = true;
+  f->one_repeatable_request = seed % 2;
+  crash_fleet_run (f, 3000);
+  f->crashing_per_s = crashing_per_s;
+  crash_fleet_run (f, 1500);
+  disturb (f, what);
+  crash_fleet_run (f, 17000);
+  check_stopped_after (f, REPEATED);
+  crash_fleet_free (f);
+}
+
+static void
+play_small_services (Disturbance what)
+{
+  for (uint64_t seed = 0; seed < 24; seed++)
+    for (size_t i = 0; i < N_HIGH_RATES; i++)
+      play_small_service (seed, HIGH_RATES[i], what);
+}
+
+/* Guards against many sends of one request that ends all servers close together, as in a loss of power. */
+static void
+request_that_ends_a_small_service_at_once_is_stopped (void)
+{
+  for (Disturbance what = UNDISTURBED; what < START_AGAIN; what++)
+    play_small_services (what);
+}
+
+/* As before, and what the hosts know of the request is lost before it is written. */
+static void
+request_that_ends_a_small_service_is_stopped_by_new_hosts (void)
+{
+  play_small_services (START_AGAIN);
+}
+
+/* Sound requests, all the same, run at the servers of a small service when the first three lose power. */
+static CrashFleet *
+lose_power_under_same_requests (uint64_t seed, int servers, double per_s)
+{
+  CrashFleetOptions options
+      = { .hosts = 9, .servers = servers, .data_centres = 3, .requests_per_s = 30, .seed = seed };
+  CrashFleet *f = crash_fleet_new (&options);
+
+  f->one_repeatable_request = true;
+  f->part_is_sound = true;
+  f->crashing_per_s = per_s;
+  crash_fleet_run (f, 3000);
+  for (int i = 0; i < 3; i++)
+    crash_fleet_end_server (f, i);
+  return f;
+}
+
+/* Guards against blaming one request, which many send, for a loss of power of all servers: once they are back, one trial
+ * shows that it is sound. */
+static void
+same_sound_requests_come_back_with_their_servers (void)
+{
+  for (uint64_t seed = 0; seed < 40; seed++)
+    {
+      CrashFleet *f = lose_power_under_same_requests (seed, 3, seed % 2 ? 10 : 30);
+
+      crash_fleet_run (f, RESTART_MS + COME_BACK_MS);
+      f->part_refused = 0;
+      crash_fleet_run (f, 10000);
+      CU_ASSERT_EQUAL (f->part_refused, 0);
+      crash_fleet_free (f);
+    }
+}
+
+/* Guards against a request that is stopped in doubt until the store is back. */
+static void
+same_sound_requests_come_back_without_the_store (void)
+{
+  CrashFleet *f = lose_power_under_same_requests (0, 3, 30);
+
+  for (int i = 0; i < f->options.hosts; i++)
+    f->hosts[i].store->drop_calls = true;
+  crash_fleet_run (f, DOUBT_MS);
+  CU_ASSERT (f->part_refused > 0);
+  f->part_refused = 0;
+  crash_fleet_run (f, 10000);
+  CU_ASSERT_EQUAL (f->part_refused, 0);
+  crash_fleet_free (f);
+}
+
+/* Guards against blaming one request that other servers answer. */
+static void
+same_sound_requests_go_on_at_other_servers (void)
+{
+  for (uint64_t seed = 0; seed < 40; seed++)
+    {
+      CrashFleet *f = lose_power_under_same_requests (seed, 6, seed % 2 ? 10 : 30);
+
+      crash_fleet_run (f, 10000);
+      CU_ASSERT_EQUAL (f->part_refused, 0);
+      crash_fleet_free (f);
+    }
+}
+
 /* --- One request ------------------------------------------------------------------------- */
 
 static const QuarantineKey PART = { QUARANTINE_PROMPT_PART, 7 };
@@ -406,6 +544,15 @@
       request_that_comes_again_and_crashes_servers_is_stopped },
     { "repeatable_request_that_crashes_servers_is_stopped",
       repeatable_request_that_crashes_servers_is_stopped },
+    { "request_that_ends_a_small_service_at_once_is_stopped",
+      request_that_ends_a_small_service_at_once_is_stopped },
+    { "request_that_ends_a_small_service_is_stopped_by_new_hosts",
+      request_that_ends_a_small_service_is_stopped_by_new_hosts },
+    { "same_sound_requests_come_back_with_their_servers",
+      same_sound_requests_come_back_with_their_servers },
+    { "same_sound_requests_come_back_without_the_store",
+      same_sound_requests_come_back_without_the_store },
+    { "same_sound_requests_go_on_at_other_servers", same_sound_requests_go_on_at_other_servers },
     { "stopped_request_does_not_wait_for_its_budget",
       stopped_request_does_not_wait_for_its_budget },
   };
