quarantine: a stop because of repeated sends is in doubt

What callers saw: unit tests only. A sound request that hosts may repeat, and that many send, was refused for a minute when the servers of a small service lost power 100 or 200 ms apart: 15 of 80 plays of the new test repeated_sound_requests_come_back_with_their_servers.

Cause: ends under one request count each, also within 500 ms of each other, if a host sent it again after the first one. The host did so, to a server that lost power a moment later, and then to the third.

Change: ends that count only for this reason stop the request as fast as before, but in doubt: the first trial comes after 1 s.

--- a/src/quarantine/evidence_judge.c
+++ b/src/quarantine/evidence_judge.c
@@ -9,10 +9,10 @@
 /* Time in which a sound answer can clear a key before other hosts are told of its last end but one. */
 #define REPORT_DELAY_MS 500
 
-/* @return the ends that count: those within SAME_CAUSE_MS of each other count once, unless it was the same request,
- * which was sent again after the first one. */
-int
-evidence_count_ends (const Suspect *s)
+/* @param each_send ends within SAME_CAUSE_MS of each other count each if it was the same request, which was sent again
+ * after the first one; else they count once in any case. */
+static int
+count_ends (const Suspect *s, bool each_send)
 {
   const CutRecord *counted = NULL;
   int n = 0;
@@ -23,7 +23,7 @@
 
       if (!r->ended
           || (counted && r->cut_ms < counted->cut_ms + SAME_CAUSE_MS
-              && r->request != counted->request))
+              && !(each_send && r->request == counted->request)))
         continue;
       n++;
       counted = r;
@@ -31,6 +31,13 @@
   return n;
 }
 
+/* @return the ends that count. */
+int
+evidence_count_ends (const Suspect *s)
+{
+  return count_ends (s, true);
+}
+
 /* Keys that were cut off in the same requests each time cannot be told apart. */
 static bool
 is_same_group (const Suspect *a, const Suspect *b)
@@ -192,7 +199,8 @@
   if (now_ms < b.worst->blamed_ms + settle_ms (&b, in_doubt))
     return false;
   *verdict = verdict_on (b.worst);
-  verdict->in_doubt = in_doubt;
+  /* A request may have been repeated at servers that lost power a little later. */
+  verdict->in_doubt = count_ends (b.worst, false) < EVIDENCE_ENDS;
   if (in_doubt)
     verdict->ends = EVIDENCE_ENDS;
   evidence_free_suspect (e, b.worst);
--- a/tests/unit/test_evidence.c
+++ b/tests/unit/test_evidence.c
@@ -61,12 +61,16 @@
 third_end_at_another_time_decides (void)
 {
   Evidence *e = evidence_new (NULL, MAX_KEYS);
+  EvidenceVerdict v;
+  size_t n;
 
   end (e, FIRST_PART, GUILTY_PART, 1, 1000);
   end (e, FIRST_PART, GUILTY_PART, 2, 2000);
   CU_ASSERT_EQUAL (judge (e, 5000), 0);
   end (e, FIRST_PART, GUILTY_PART, 3, 3000);
-  CU_ASSERT_EQUAL (judge (e, 3000), GUILTY_PART);
+  CU_ASSERT (evidence_judge (e, 3000, &v, &n));
+  CU_ASSERT_EQUAL (v.key.id, GUILTY_PART);
+  CU_ASSERT_FALSE (v.in_doubt);
   CU_ASSERT_EQUAL (judge (e, 9000), 0);
   talloc_free (e);
 }
@@ -101,6 +105,8 @@
 {
   Evidence *e = evidence_new (NULL, MAX_KEYS);
   QuarantineKey key = part (GUILTY_PART);
+  EvidenceVerdict v;
+  size_t n;
 
   for (uint64_t i = 1; i <= 3; i++)
     {
@@ -111,7 +117,9 @@
       evidence_add_cut (e, &c);
       evidence_add_end (e, i, c.cut_ms);
     }
-  CU_ASSERT_EQUAL (judge (e, 2000), GUILTY_PART);
+  CU_ASSERT (evidence_judge (e, 2000, &v, &n));
+  CU_ASSERT_EQUAL (v.key.id, GUILTY_PART);
+  CU_ASSERT (v.in_doubt);
   talloc_free (e);
 }
 
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -308,9 +308,10 @@
   play_small_services (START_AGAIN);
 }
 
-/* Sound requests, all the same, run at the servers of a small service when the first three lose power. */
+/* Sound requests, all the same, run at the servers of a small service when the first three lose power, @p gap_ms after
+ * each other. */
 static CrashFleet *
-lose_power_under_same_requests (uint64_t seed, int servers, double per_s)
+lose_power_under_same_requests (uint64_t seed, int servers, double per_s, int64_t gap_ms)
 {
   CrashFleetOptions options
       = { .hosts = 9, .servers = servers, .data_centres = 3, .requests_per_s = 30, .seed = seed };
@@ -321,18 +322,19 @@
   f->crashing_per_s = per_s;
   crash_fleet_run (f, 3000);
   for (int i = 0; i < 3; i++)
-    crash_fleet_end_server (f, i);
+    {
+      crash_fleet_run (f, i > 0 ? gap_ms : 0);
+      crash_fleet_end_server (f, i);
+    }
   return f;
 }
 
-/* Guards against blaming one request, which many send, for a loss of power of all servers: once they are back, one trial
- * shows that it is sound. */
 static void
-same_sound_requests_come_back_with_their_servers (void)
+check_same_sound_requests_come_back (int64_t gap_ms)
 {
   for (uint64_t seed = 0; seed < 40; seed++)
     {
-      CrashFleet *f = lose_power_under_same_requests (seed, 3, seed % 2 ? 10 : 30);
+      CrashFleet *f = lose_power_under_same_requests (seed, 3, seed % 2 ? 10 : 30, gap_ms);
 
       crash_fleet_run (f, RESTART_MS + COME_BACK_MS);
       f->part_refused = 0;
@@ -342,11 +344,27 @@
     }
 }
 
+/* Guards against blaming one request, which many send, for a loss of power of all servers: once they are back, one trial
+ * shows that it is sound. */
+static void
+same_sound_requests_come_back_with_their_servers (void)
+{
+  check_same_sound_requests_come_back (0);
+}
+
+/* As before; hosts repeat requests at servers that lose power a little later. */
+static void
+repeated_sound_requests_come_back_with_their_servers (void)
+{
+  check_same_sound_requests_come_back (100);
+  check_same_sound_requests_come_back (200);
+}
+
 /* Guards against a request that is stopped in doubt until the store is back. */
 static void
 same_sound_requests_come_back_without_the_store (void)
 {
-  CrashFleet *f = lose_power_under_same_requests (0, 3, 30);
+  CrashFleet *f = lose_power_under_same_requests (0, 3, 30, 0);
 
   for (int i = 0; i < f->options.hosts; i++)
     f->hosts[i].store->drop_calls = true;
@@ -364,7 +382,7 @@
 {
   for (uint64_t seed = 0; seed < 40; seed++)
     {
-      CrashFleet *f = lose_power_under_same_requests (seed, 6, seed % 2 ? 10 : 30);
+      CrashFleet *f = lose_power_under_same_requests (seed, 6, seed % 2 ? 10 : 30, 0);
 
       crash_fleet_run (f, 10000);
       CU_ASSERT_EQUAL (f->part_refused, 0);
@@ -550,6 +568,8 @@
       request_that_ends_a_small_service_is_stopped_by_new_hosts },
     { "same_sound_requests_come_back_with_their_servers",
       same_sound_requests_come_back_with_their_servers },
+    { "repeated_sound_requests_come_back_with_their_servers",
+      repeated_sound_requests_come_back_with_their_servers },
     { "same_sound_requests_come_back_without_the_store",
       same_sound_requests_come_back_without_the_store },
     { "same_sound_requests_go_on_at_other_servers", same_sound_requests_go_on_at_other_servers },
