quarantine: stop in doubt a part under which servers end together twice

What callers saw: unit tests only. Requests with one part in their prompts, ten or more a second to a service of three servers, were sent 4 to 11 times later than 3 s after the fifth end (allowed 3) in 60 of 216 plays of the new test part_that_ends_a_small_service_at_once_is_stopped, which plays what the test of one request does.

Cause: as for one request, ends within 500 ms of each other count once, so that a part that ends all servers each time they are back has two ends after six. Ruled out: stopping it as early as one request. A part is common to what runs at all servers when they lose power once.

Change: five ends at two times at least 500 ms apart, without a sound answer since the first, stop a part in doubt; one trial decides, 1 s later. One loss of power says nothing about parts, as before: servers_that_end_together_count_once and servers_that_end_for_other_reasons_stop_no_part are unchanged and pass.

--- a/src/quarantine/evidence.h
+++ b/src/quarantine/evidence.h
@@ -6,7 +6,7 @@
  * An exchange that is cut off before its answer is known to be sound is recorded for each of its keys. The record
  * counts once its server is proved to have ended. A sound answer to a request that was sent later removes the record
  * from the keys of that request. A key with ends at three different times is to blame, unless so many keys are that the
- * servers must be. One request under which three servers ended at fewer times is to blame in doubt. No I/O, no clock. Lock "quarantine". */
+ * servers must be. With as many servers that ended at fewer times a key may be to blame in doubt. No I/O, no clock. Lock "quarantine". */
 #pragma once
 
 #include <stddef.h>
--- a/src/quarantine/evidence_judge.c
+++ b/src/quarantine/evidence_judge.c
@@ -9,6 +9,10 @@
 /* Time in which a sound answer can clear a key before other hosts are told of its last end but one. */
 #define REPORT_DELAY_MS 500
 
+/* Ends of servers, and the different times of them, after which a part of prompts is to blame in doubt. */
+#define PART_ENDS_IN_DOUBT  5
+#define PART_TIMES_IN_DOUBT 2
+
 /* @param each_send ends within SAME_CAUSE_MS of each other count each if it was the same request, which was sent again
  * after the first one; else they count once in any case. */
 static int
@@ -84,17 +88,17 @@
   return s->n_records >= EVIDENCE_ENDS && evidence_count_ends (s) >= EVIDENCE_ENDS;
 }
 
-/* Parts are common to what runs at many servers, so that servers which end together say nothing about them. That several
- * ran the very same request, and none has answered it since, is suspicious. */
+/* That several servers ran the very same request when they ended together, and none has answered it since, is suspicious.
+ * Parts are common to what runs at many servers, so that it says nothing about them until it happens again. */
 static bool
 may_be_to_blame_in_doubt (const Suspect *s)
 {
   size_t n = 0;
 
-  if (s->key.kind != QUARANTINE_REQUEST)
-    return false;
   for (size_t i = 0; i < s->n_records; i++)
     n += s->records[i].ended;
+  if (s->key.kind != QUARANTINE_REQUEST)
+    return n >= PART_ENDS_IN_DOUBT && count_ends (s, false) >= PART_TIMES_IN_DOUBT;
   return n >= EVIDENCE_ENDS;
 }
 
--- a/tests/unit/test_evidence.c
+++ b/tests/unit/test_evidence.c
@@ -99,6 +99,26 @@
   talloc_free (e);
 }
 
+/* Guards against a part that ends all servers of a service each time they are back, and one end of which counts. */
+static void
+servers_that_end_together_twice_blame_a_part_in_doubt (void)
+{
+  Evidence *e = evidence_new (NULL, MAX_KEYS);
+  EvidenceVerdict v;
+  size_t n;
+
+  for (uint64_t i = 1; i <= 3; i++)
+    end (e, FIRST_PART, GUILTY_PART, i, 1000 + (int64_t)i * 50);
+  end (e, FIRST_PART, GUILTY_PART, 4, 4000);
+  CU_ASSERT_EQUAL (judge (e, 6000), 0);
+  end (e, FIRST_PART, GUILTY_PART, 5, 4050);
+  CU_ASSERT_EQUAL (judge (e, 6000), 0);
+  CU_ASSERT (evidence_judge (e, 6500, &v, &n));
+  CU_ASSERT_EQUAL (v.key.id, GUILTY_PART);
+  CU_ASSERT (v.in_doubt);
+  talloc_free (e);
+}
+
 /* Guards against a request that a host sends to one server after the other, all within half a second. */
 static void
 ends_under_one_request_that_is_repeated_count_each (void)
@@ -298,6 +318,8 @@
     { "cut_exchange_whose_server_goes_on_counts_nothing",
       cut_exchange_whose_server_goes_on_counts_nothing },
     { "servers_that_end_together_count_once", servers_that_end_together_count_once },
+    { "servers_that_end_together_twice_blame_a_part_in_doubt",
+      servers_that_end_together_twice_blame_a_part_in_doubt },
     { "ends_under_one_request_that_is_repeated_count_each",
       ends_under_one_request_that_is_repeated_count_each },
     { "servers_that_end_together_under_the_same_request_blame_it_in_doubt",
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -266,31 +266,31 @@
   crash_fleet_split (f, 1);
 }
 
-/* A service of three servers gets one request again and again, at any host. */
+/* A service of three servers gets requests with one part, or one request again and again, at any host. */
 static void
-play_small_service (uint64_t seed, double crashing_per_s, Disturbance what)
+play_small_service (uint64_t seed, bool one_request, double crashing_per_s, Disturbance what)
 {
   CrashFleetOptions options
       = { .hosts = 9, .servers = 3, .data_centres = 3, .requests_per_s = 30, .seed = seed };
   CrashFleet *f = crash_fleet_new (&options);
 
-  f->one_request = true;
-  f->one_repeatable_request = seed % 2;
+  f->one_request = one_request;
+  f->one_repeatable_request = one_request && seed % 2;
   crash_fleet_run (f, 3000);
   f->crashing_per_s = crashing_per_s;
   crash_fleet_run (f, 1500);
   disturb (f, what);
   crash_fleet_run (f, 17000);
-  check_stopped_after (f, REPEATED);
+  check_stopped_after (f, one_request ? REPEATED : MANY_CRASHES);
   crash_fleet_free (f);
 }
 
 static void
-play_small_services (Disturbance what)
+play_small_services (bool one_request, Disturbance what)
 {
   for (uint64_t seed = 0; seed < 24; seed++)
     for (size_t i = 0; i < N_HIGH_RATES; i++)
-      play_small_service (seed, HIGH_RATES[i], what);
+      play_small_service (seed, one_request, HIGH_RATES[i], what);
 }
 
 /* Guards against many sends of one request that ends all servers close together, as in a loss of power. */
@@ -298,14 +298,22 @@
 request_that_ends_a_small_service_at_once_is_stopped (void)
 {
   for (Disturbance what = UNDISTURBED; what < START_AGAIN; what++)
-    play_small_services (what);
+    play_small_services (true, what);
 }
 
-/* As before, and what the hosts know of the request is lost before it is written. */
+/* As before, with requests that have one part in common. */
+static void
+part_that_ends_a_small_service_at_once_is_stopped (void)
+{
+  for (Disturbance what = UNDISTURBED; what < START_AGAIN; what++)
+    play_small_services (false, what);
+}
+
+/* What the hosts know of such a request is lost before it is written. */
 static void
 request_that_ends_a_small_service_is_stopped_by_new_hosts (void)
 {
-  play_small_services (START_AGAIN);
+  play_small_services (true, START_AGAIN);
 }
 
 /* Sound requests, all the same, run at the servers of a small service when the first three lose power, @p gap_ms after
@@ -564,6 +572,8 @@
       repeatable_request_that_crashes_servers_is_stopped },
     { "request_that_ends_a_small_service_at_once_is_stopped",
       request_that_ends_a_small_service_at_once_is_stopped },
+    { "part_that_ends_a_small_service_at_once_is_stopped",
+      part_that_ends_a_small_service_at_once_is_stopped },
     { "request_that_ends_a_small_service_is_stopped_by_new_hosts",
       request_that_ends_a_small_service_is_stopped_by_new_hosts },
     { "same_sound_requests_come_back_with_their_servers",
