--- a/src/quarantine/evidence_judge.c
+++ b/src/quarantine/evidence_judge.c
@@ -3,13 +3,20 @@
 /* If several keys may be to blame, sound answers to the innocent ones are waited for. */
 #define SETTLE_MS 1000
 
+/* As SETTLE_MS, if one request is to blame in doubt: other servers may still answer it. */
+#define DOUBT_SETTLE_MS 500
+
 /* Time in which a sound answer can clear a key before other hosts are told of its last end but one. */
 #define REPORT_DELAY_MS 500
 
-/* @return the ends that count: those within SAME_CAUSE_MS of each other count once, unless it was the same request,
- * which was sent again after the first one. */
-int
-evidence_count_ends (const Suspect *s)
+/* Ends of servers, and the different times of them, after which a part of prompts is to blame in doubt. */
+#define PART_ENDS_IN_DOUBT  5
+#define PART_TIMES_IN_DOUBT 2
+
+/* @param each_send ends within SAME_CAUSE_MS of each other count each if it was the same request, which was sent again
+ * after the first one; else they count once in any case. */
+static int
+count_ends (const Suspect *s, bool each_send)
 {
   const CutRecord *counted = NULL;
   int n = 0;
@@ -20,7 +27,7 @@
 
       if (!r->ended
           || (counted && r->cut_ms < counted->cut_ms + SAME_CAUSE_MS
-              && r->request != counted->request))
+              && !(each_send && r->request == counted->request)))
         continue;
       n++;
       counted = r;
@@ -28,6 +35,13 @@
   return n;
 }
 
+/* @return the ends that count. */
+int
+evidence_count_ends (const Suspect *s)
+{
+  return count_ends (s, true);
+}
+
 /* Keys that were cut off in the same requests each time cannot be told apart. */
 static bool
 is_same_group (const Suspect *a, const Suspect *b)
@@ -68,8 +82,28 @@
     b->groups[b->n_groups++] = s;
 }
 
+static bool
+may_be_to_blame (const Suspect *s)
+{
+  return s->n_records >= EVIDENCE_ENDS && evidence_count_ends (s) >= EVIDENCE_ENDS;
+}
+
+/* That several servers ran the very same request when they ended together, and none has answered it since, is suspicious.
+ * Parts are common to what runs at many servers, so that it says nothing about them until it happens again. */
+static bool
+may_be_to_blame_in_doubt (const Suspect *s)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < s->n_records; i++)
+    n += s->records[i].ended;
+  if (s->key.kind != QUARANTINE_REQUEST)
+    return n >= PART_ENDS_IN_DOUBT && count_ends (s, false) >= PART_TIMES_IN_DOUBT;
+  return n >= EVIDENCE_ENDS;
+}
+
 static Blamed
-find_blamed (Evidence *e, int64_t now_ms)
+find_blamed (Evidence *e, bool (*is_blamed) (const Suspect *), int64_t now_ms)
 {
   Blamed b = { 0 };
 
@@ -77,7 +111,7 @@
     {
       Suspect *s = LIST_ENTRY (n, Suspect, node);
 
-      if (s->n_records < EVIDENCE_ENDS || evidence_count_ends (s) < EVIDENCE_ENDS)
+      if (!is_blamed (s))
         continue;
       if (!s->blamed_ms)
         s->blamed_ms = now_ms;
@@ -147,17 +181,32 @@
   return false;
 }
 
+static int64_t
+settle_ms (const Blamed *b, bool in_doubt)
+{
+  if (b->n_groups > 1)
+    return SETTLE_MS;
+  return in_doubt ? DOUBT_SETTLE_MS : 0;
+}
+
 bool
 evidence_judge (Evidence *e, int64_t now_ms, EvidenceVerdict *verdict, size_t *n_blamed)
 {
-  Blamed b = find_blamed (e, now_ms);
+  Blamed b = find_blamed (e, may_be_to_blame, now_ms);
+  bool in_doubt = b.n_groups == 0;
 
+  if (in_doubt)
+    b = find_blamed (e, may_be_to_blame_in_doubt, now_ms);
   *n_blamed = b.n_groups;
   if (b.n_groups == 0 || b.n_groups > EVIDENCE_MAX_BLAMED)
     return false;
-  if (b.n_groups > 1 && now_ms < b.worst->blamed_ms + SETTLE_MS)
+  if (now_ms < b.worst->blamed_ms + settle_ms (&b, in_doubt))
     return false;
   *verdict = verdict_on (b.worst);
+  /* A request may have been repeated at servers that lost power a little later. */
+  verdict->in_doubt = count_ends (b.worst, false) < EVIDENCE_ENDS;
+  if (in_doubt)
+    verdict->ends = EVIDENCE_ENDS;
   evidence_free_suspect (e, b.worst);
   remove_explained (e, verdict);
   return true;
--- a/src/quarantine/quarantine_rows.c
+++ b/src/quarantine/quarantine_rows.c
@@ -73,7 +73,9 @@
   if (!json_integer_read (json_object_get (json, "ends"), ENDS, &ends)
       || !json_integer_read (json_object_get (json, "trials"), TRIALS, &trials))
     return false;
-  *row = (StoppedRow){ .ends = (int)ends, .trials = (int)trials };
+  *row = (StoppedRow){ .ends = (int)ends,
+                       .trials = (int)trials,
+                       .in_doubt = json_is_true (json_object_get (json, "in_doubt")) };
   json_array_foreach (instances, i, instance)
   {
     if (json_is_string (instance) && row->n_instances < EVIDENCE_ENDS - 1)
@@ -137,8 +139,8 @@
 static char *
 row_json (const void *ctx, const StoppedRow *row)
 {
-  char *text
-      = talloc_asprintf (ctx, "{\"ends\":%d,\"trials\":%d,\"instances\":[", row->ends, row->trials);
+  char *text = talloc_asprintf (ctx, "{\"ends\":%d,\"trials\":%d,%s\"instances\":[", row->ends,
+                                row->trials, row->in_doubt ? "\"in_doubt\":true," : "");
 
   for (size_t i = 0; i < row->n_instances; i++)
     text = talloc_asprintf_append (text, "%s\"%" PRIx64 "\"", i > 0 ? "," : "", row->instances[i]);
--- a/tests/unit/test_evidence.c
+++ b/tests/unit/test_evidence.c
@@ -61,12 +61,16 @@
 third_end_at_another_time_decides (void)
 {
   Evidence *e = evidence_new (NULL, MAX_KEYS);
+  EvidenceVerdict v;
+  size_t n;
 
   end (e, FIRST_PART, GUILTY_PART, 1, 1000);
   end (e, FIRST_PART, GUILTY_PART, 2, 2000);
   CU_ASSERT_EQUAL (judge (e, 5000), 0);
   end (e, FIRST_PART, GUILTY_PART, 3, 3000);
-  CU_ASSERT_EQUAL (judge (e, 3000), GUILTY_PART);
+  CU_ASSERT (evidence_judge (e, 3000, &v, &n));
+  CU_ASSERT_EQUAL (v.key.id, GUILTY_PART);
+  CU_ASSERT_FALSE (v.in_doubt);
   CU_ASSERT_EQUAL (judge (e, 9000), 0);
   talloc_free (e);
 }
@@ -95,12 +99,34 @@
   talloc_free (e);
 }
 
+/* Guards against a part that ends all servers of a service each time they are back, and one end of which counts. */
+static void
+servers_that_end_together_twice_blame_a_part_in_doubt (void)
+{
+  Evidence *e = evidence_new (NULL, MAX_KEYS);
+  EvidenceVerdict v;
+  size_t n;
+
+  for (uint64_t i = 1; i <= 3; i++)
+    end (e, FIRST_PART, GUILTY_PART, i, 1000 + (int64_t)i * 50);
+  end (e, FIRST_PART, GUILTY_PART, 4, 4000);
+  CU_ASSERT_EQUAL (judge (e, 6000), 0);
+  end (e, FIRST_PART, GUILTY_PART, 5, 4050);
+  CU_ASSERT_EQUAL (judge (e, 6000), 0);
+  CU_ASSERT (evidence_judge (e, 6500, &v, &n));
+  CU_ASSERT_EQUAL (v.key.id, GUILTY_PART);
+  CU_ASSERT (v.in_doubt);
+  talloc_free (e);
+}
+
 /* Guards against a request that a host sends to one server after the other, all within half a second. */
 static void
 ends_under_one_request_that_is_repeated_count_each (void)
 {
   Evidence *e = evidence_new (NULL, MAX_KEYS);
   QuarantineKey key = part (GUILTY_PART);
+  EvidenceVerdict v;
+  size_t n;
 
   for (uint64_t i = 1; i <= 3; i++)
     {
@@ -111,7 +137,56 @@
       evidence_add_cut (e, &c);
       evidence_add_end (e, i, c.cut_ms);
     }
-  CU_ASSERT_EQUAL (judge (e, 2000), GUILTY_PART);
+  CU_ASSERT (evidence_judge (e, 2000, &v, &n));
+  CU_ASSERT_EQUAL (v.key.id, GUILTY_PART);
+  CU_ASSERT (v.in_doubt);
+  talloc_free (e);
+}
+
+/* Three servers end together under sends of the same request. */
+static Evidence *
+end_under_same_request (void)
+{
+  Evidence *e = evidence_new (NULL, MAX_KEYS);
+  QuarantineKey keys[] = { part (FIRST_PART), { QUARANTINE_REQUEST, GUILTY_PART } };
+
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      EvidenceCut c
+          = { .keys = keys, .n_keys = 2, .instance = i, .request = i, .cut_ms = 1000 + (int64_t)i };
+
+      evidence_add_cut (e, &c);
+      evidence_add_end (e, i, c.cut_ms);
+    }
+  return e;
+}
+
+/* Guards against a request that ends all servers of a service at once and is then sent as before. */
+static void
+servers_that_end_together_under_the_same_request_blame_it_in_doubt (void)
+{
+  Evidence *e = end_under_same_request ();
+  EvidenceVerdict v;
+  size_t n;
+
+  CU_ASSERT_EQUAL (judge (e, 1003), 0);
+  CU_ASSERT_EQUAL (judge (e, 1502), 0);
+  CU_ASSERT (evidence_judge (e, 1503, &v, &n));
+  CU_ASSERT_EQUAL (v.key.kind, QUARANTINE_REQUEST);
+  CU_ASSERT (v.in_doubt);
+  CU_ASSERT_EQUAL (judge (e, 9000), 0);
+  talloc_free (e);
+}
+
+static void
+sound_answer_clears_the_same_request (void)
+{
+  Evidence *e = end_under_same_request ();
+  QuarantineKey key = { QUARANTINE_REQUEST, GUILTY_PART };
+
+  CU_ASSERT_EQUAL (judge (e, 1003), 0);
+  CU_ASSERT (evidence_add_sound (e, &key, 1, 1500));
+  CU_ASSERT_EQUAL (judge (e, 9000), 0);
   talloc_free (e);
 }
 
@@ -243,8 +318,13 @@
     { "cut_exchange_whose_server_goes_on_counts_nothing",
       cut_exchange_whose_server_goes_on_counts_nothing },
     { "servers_that_end_together_count_once", servers_that_end_together_count_once },
+    { "servers_that_end_together_twice_blame_a_part_in_doubt",
+      servers_that_end_together_twice_blame_a_part_in_doubt },
     { "ends_under_one_request_that_is_repeated_count_each",
       ends_under_one_request_that_is_repeated_count_each },
+    { "servers_that_end_together_under_the_same_request_blame_it_in_doubt",
+      servers_that_end_together_under_the_same_request_blame_it_in_doubt },
+    { "sound_answer_clears_the_same_request", sound_answer_clears_the_same_request },
     { "server_that_answers_again_has_not_ended", server_that_answers_again_has_not_ended },
     { "server_without_known_starts_counts_each_time",
       server_without_known_starts_counts_each_time },
