http: begin no request while the server stops

A whole request that lay unread on a kept connection when the process ended was read by the last run of libmicrohttpd, reported, and suspended; stopping the daemon with a suspended connection aborts the process. With the users' settings it is masked, because requests are refused from 2.5 s of a drain on, before the process ends; with a grace below that, or a deadline below 1.75 s, a drained host could end by SIGABRT.

From the start of server_destroy() on no request is reported; its connection is closed. The new case of test_client_connections aborted before.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -280,6 +280,7 @@
 static int
 server_destroy (HttpServer *server)
 {
+  server->stopping = true;
   /* tevent must stop watching the descriptors before they are closed. */
   TALLOC_FREE (server->daemon_event);
   TALLOC_FREE (server->hangup_event);
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -29,6 +29,7 @@
   struct tevent_fd *wake_event;
   bool run_scheduled;
   bool close_after_response;
+  bool stopping; /* no request is reported any more */
   int hangup_fd; /* epoll set that reports clients that close their connection; libmicrohttpd's
                     own set does not contain suspended connections */
   Listener *listener;
--- a/src/http/server_request.c
+++ b/src/http/server_request.c
@@ -139,6 +139,8 @@
   (void)cls;
   (void)url;
   (void)version;
+  if (call->server->stopping && !call->delivered)
+    return MHD_NO;
   if (!call->mhd)
     return start_call (call, mhd, method);
   if (*upload_len > 0)
--- a/tests/unit/test_client_connections.c
+++ b/tests/unit/test_client_connections.c
@@ -1,6 +1,7 @@
 /* Kept connections of clients: which of them the HTTP server may close, and when. Over the loopback interface. */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -26,13 +27,21 @@
   char received[4096];
   size_t n_received;
   bool closed;
+  bool holds_requests; /* the owner of the server does not answer */
+  int n_held;
 } ConnectionFixture;
 
 static void
 on_request (void *data, HttpCall *call, HttpFault fault)
 {
-  (void)data;
+  ConnectionFixture *f = data;
+
   CU_ASSERT_EQUAL (fault, HTTP_FAULT_NONE);
+  if (f->holds_requests)
+    {
+      f->n_held++;
+      return;
+    }
   http_call_respond (call, 200, NULL, 0, "ok", 2);
 }
 
@@ -54,7 +63,8 @@
                                 .read_timeout_ms = read_timeout_ms,
                                 .idle_timeout_ms = idle_timeout_ms,
                                 .max_connections = 8,
-                                .events = &EVENTS };
+                                .events = &EVENTS,
+                                .data = f };
   struct sockaddr_in address = { .sin_family = AF_INET };
 
   *f = (ConnectionFixture){ .loop = loop_new (NULL) };
@@ -167,6 +177,25 @@
   fixture_stop (&f);
 }
 
+/* The process used to abort. */
+static void
+request_that_comes_as_the_server_stops_is_not_begun (void)
+{
+  ConnectionFixture f;
+
+  fixture_start (&f, LONG_LIMIT_MS, LONG_LIMIT_MS);
+  exchange (&f);
+  f.holds_requests = true;
+  send_bytes (&f, REQUEST, strlen (REQUEST));
+  TALLOC_FREE (f.server);
+  CU_ASSERT_EQUAL (f.n_held, 0);
+  f.n_received = 0;
+  receive (&f);
+  CU_ASSERT_TRUE (f.closed);
+  CU_ASSERT_EQUAL (f.n_received, 0);
+  fixture_stop (&f);
+}
+
 static void
 silent_connection_is_closed_after_the_limit (void)
 {
@@ -248,6 +277,8 @@
     request_that_came_during_a_stall_is_answered_on_an_expired_connection },
   { "body_that_came_during_a_stall_is_not_answered_with_408",
     body_that_came_during_a_stall_is_not_answered_with_408 },
+  { "request_that_comes_as_the_server_stops_is_not_begun",
+    request_that_comes_as_the_server_stops_is_not_begun },
   { "silent_connection_is_closed_after_the_limit", silent_connection_is_closed_after_the_limit },
   { "request_whose_head_is_half_in_does_not_count_as_idle",
     request_whose_head_is_half_in_does_not_count_as_idle },
