--- a/src/http/server.c
+++ b/src/http/server.c
@@ -16,6 +16,10 @@
 
 #define SWEEP_INTERVAL_MS 1000
 
+/* A request of which more has arrived than was read is not late because of its client. A client that always has a few
+ * bytes on the way must not hold its connection for ever, so that it is spared by so many sweeps. */
+#define MAX_SPARED_SWEEPS 2
+
 /* libmicrohttpd rejects headers that exceed its memory pool with an HTML page of its own. The pool is
  * larger than max_header_bytes, so that clients usually get this server's response. */
 #define POOL_EXTRA_BYTES 1024
@@ -229,9 +233,13 @@
 static bool
 is_expired (const Connection *c, int64_t age_ms)
 {
-  if (!c->call)
+  HttpCall *call = c->call;
+
+  if (!call)
     return age_ms >= idle_limit_ms (c) && !has_unread_bytes (c);
-  return !c->call->delivered && age_ms >= c->server->read_timeout_ms;
+  if (call->delivered || age_ms < c->server->read_timeout_ms)
+    return false;
+  return !has_unread_bytes (c) || ++call->n_spared > MAX_SPARED_SWEEPS;
 }
 
 /* Closes idle connections and those whose request does not arrive in time. libmicrohttpd's own timeout
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -62,6 +62,7 @@
   char *body;
   size_t body_len;
   HttpFault fault;
+  int n_spared;   /* sweeps that found it late, but with bytes that were not read */
   bool delivered; /* the request event was reported */
   bool suspended;
   bool response_queued; /* the response was handed to libmicrohttpd */
