--- a/src/relay/relay_finish.c
+++ b/src/relay/relay_finish.c
@@ -93,18 +93,18 @@
   format_limits (r, limits);
   format_resumes (q, resumes);
   histogram_add (relay_counters ()->duration, total * 1000);
-  log_event (
-      r->reason == ERR_NONE ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "relay", "end",
-      "id=%s route=%s service=%s account=%s status=%d reason=%s server=%s version=%s sends=%d "
-      "runs=%d "
-      "prompt=%" PRId64 " reserved=%" PRId64 " settled=%" PRId64 " charge=%s events=%" PRId64
-      " first_ms=%" PRId64 " gap_ms=%" PRId64 " total_ms=%" PRId64 " left_ms=%" PRId64 "%s%s",
-      q->id, q->route ? q->route->name : "-", q->service->name, q->account ? q->account : "-",
-      r->status, err_info (r->reason)->name, r->server[0] ? r->server : "-",
-      r->server[0] ? r->version : "-", r->sends, r->runs, q->prompt_tokens, r->reserved,
-      r->charge.tokens, r->reserved > 0 ? charge_outcome_name (r->charge.outcome) : "-", r->events,
-      r->first_event_ms, r->max_gap_ms, total, r->deadline_ms - timers_now_ms (r->deps->timers),
-      limits, resumes);
+  log_event (r->reason == ERR_NONE ? LOG_LEVEL_INFO : LOG_LEVEL_NOTICE, "relay", "end",
+             "id=%s route=%s service=%s account=%s status=%d reason=%s server=%s sends=%d runs=%d "
+             "prompt=%" PRId64 " reserved=%" PRId64 " settled=%" PRId64 " charge=%s events=%" PRId64
+             " first_ms=%" PRId64 " gap_ms=%" PRId64 " total_ms=%" PRId64 " left_ms=%" PRId64
+             " version=%s%s%s",
+             q->id, q->route ? q->route->name : "-", q->service->name,
+             q->account ? q->account : "-", r->status, err_info (r->reason)->name,
+             r->server[0] ? r->server : "-", r->sends, r->runs, q->prompt_tokens, r->reserved,
+             r->charge.tokens, r->reserved > 0 ? charge_outcome_name (r->charge.outcome) : "-",
+             r->events, r->first_event_ms, r->max_gap_ms, total,
+             r->deadline_ms - timers_now_ms (r->deps->timers), r->server[0] ? r->version : "-",
+             limits, resumes);
 }
 
 static void
