relay: break off a begun stream whose rest is answered with an error

The client of such a stream got nothing more and no end.

Cause: on_end() passed a sealed error on as the request's complete response, whatever had begun. respond() on a response that is open is dropped in silence, and the end counted as an error of the server, which costs the account nothing, although events were delivered.

Change: once the response has begun, a response that isn't a stream is a failed attempt. It is tried again within the attempts of the route, else the stream is broken off and charged like every other that broke off.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -418,7 +418,8 @@
     fail_cut_attempt (r, a, FAIL_RESPONSE_TRUNCATED);
   else if (a->streaming)
     relay_finish_stream (r);
-  else if (may_retry_response (r, a))
+  /* The client has a part of a stream: only more of its events may follow, or a break. */
+  else if (r->response_started || may_retry_response (r, a))
     fail_attempt (r, a, FAIL_NO_RESPONSE, ERR_SERVER_FAILED);
   else
     relay_finish_buffered (r, a);
