http: do not reuse connections that were open when the store did not answer

Cause (hypothesis 1): the feed's call is given up after 2,200 ms, and its retry takes the next idle connection of the pool, which went silent at the same moment: 2,200 ms more. Class: evidence about a path is used for one connection only, though all of a host's share it.

Ruled out: the parser (both versions in force 9 and 18 ms after the reply), a catalog that replaces a newer one.

Change: a call that the store leaves unanswered puts all connections that are open at that moment in doubt; they are not reused unless an exchange on them completes. One line connections_doubted says how many.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -2,6 +2,8 @@
 
 #include <talloc.h>
 
+#include "core/log.h"
+
 #define MAX_IDLE_CONNECTIONS 1024L
 
 /* The tevent watch of one of libcurl's sockets. */
@@ -111,6 +113,15 @@
   return loop_timers (client->loop);
 }
 
+void
+http_client_doubt_connections (HttpClient *client)
+{
+  size_t n = connection_table_doubt_all (client->connections);
+
+  if (n > 0)
+    log_event (LOG_LEVEL_NOTICE, "http", "connections_doubted", "connections=%zu", n);
+}
+
 static int
 client_destroy (HttpClient *client)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -69,6 +69,10 @@
 /** @return the timer service of the client's loop. */
 Timers *http_client_timers (const HttpClient *client);
 
+/** To be called if an exchange was not answered although its server answers at once: connections can go silent without a
+ * reset, and all of a host's then do. Those that are open now are not reused, except one on which an exchange completes. */
+void http_client_doubt_connections (HttpClient *client);
+
 /** Starts an exchange. @return a talloc object under @p ctx, which talloc_free() cancels, or NULL if it
  * could not be set up (nothing was sent). */
 HttpExchange *http_client_start (HttpClient *client, const void *ctx, const HttpRequest *request,
--- a/src/http/connection_table.c
+++ b/src/http/connection_table.c
@@ -9,8 +9,9 @@
 
 struct ConnectionTable
 {
-  GHashTable *fds;  /* by the hash of the ends */
-  GHashTable *ends; /* the hash of the ends, by fd */
+  GHashTable *fds;     /* by the hash of the ends */
+  GHashTable *ends;    /* the hash of the ends, by fd */
+  GHashTable *doubted; /* fds */
 };
 
 static int
@@ -18,6 +19,7 @@
 {
   g_hash_table_unref (t->fds);
   g_hash_table_unref (t->ends);
+  g_hash_table_unref (t->doubted);
   return 0;
 }
 
@@ -28,6 +30,7 @@
 
   t->fds = g_hash_table_new (g_direct_hash, g_direct_equal);
   t->ends = g_hash_table_new (g_direct_hash, g_direct_equal);
+  t->doubted = g_hash_table_new (g_direct_hash, g_direct_equal);
   talloc_set_destructor (t, table_destroy);
   return t;
 }
@@ -58,6 +61,7 @@
   if (!g_hash_table_lookup_extended (t->ends, GINT_TO_POINTER (fd), NULL, &hash))
     return;
   g_hash_table_remove (t->ends, GINT_TO_POINTER (fd));
+  g_hash_table_remove (t->doubted, GINT_TO_POINTER (fd));
   if (GPOINTER_TO_INT (g_hash_table_lookup (t->fds, hash)) == fd)
     g_hash_table_remove (t->fds, hash);
 }
@@ -69,3 +73,28 @@
 
   return g_hash_table_lookup_extended (t->fds, hash_of (e), NULL, &fd) ? GPOINTER_TO_INT (fd) : -1;
 }
+
+size_t
+connection_table_doubt_all (ConnectionTable *t)
+{
+  guint before = g_hash_table_size (t->doubted);
+  GHashTableIter iter;
+  gpointer fd;
+
+  g_hash_table_iter_init (&iter, t->ends);
+  while (g_hash_table_iter_next (&iter, &fd, NULL))
+    g_hash_table_add (t->doubted, fd);
+  return g_hash_table_size (t->doubted) - before;
+}
+
+void
+connection_table_trust (ConnectionTable *t, int fd)
+{
+  g_hash_table_remove (t->doubted, GINT_TO_POINTER (fd));
+}
+
+bool
+connection_table_is_doubted (const ConnectionTable *t, int fd)
+{
+  return g_hash_table_contains (t->doubted, GINT_TO_POINTER (fd));
+}
--- a/src/http/connection_table.h
+++ b/src/http/connection_table.h
@@ -3,6 +3,9 @@
  * to reuse, only the addresses. One loop's thread. */
 #pragma once
 
+#include <stdbool.h>
+#include <stddef.h>
+
 typedef struct ConnectionTable ConnectionTable;
 
 /** The ends of a connection. */
@@ -22,5 +25,13 @@
 /** Removes the connection of a socket that is about to be closed; one that is not in the table is ignored. */
 void connection_table_remove (ConnectionTable *table, int fd);
 
+/** From now on the connections that are in the table are in doubt. @return how many of them were not before. */
+size_t connection_table_doubt_all (ConnectionTable *table);
+
+/** Ends the doubt about a connection; a socket that is not in the table is ignored. */
+void connection_table_trust (ConnectionTable *table, int fd);
+
+bool connection_table_is_doubted (const ConnectionTable *table, int fd);
+
 /** @return the socket, or -1 if it is unknown. */
 int connection_table_find (const ConnectionTable *table, const ConnectionEnds *ends);
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -110,28 +110,35 @@
 {
   x->stale_connection = false;
   counter_add (counter_get ("pond_stale_connections_total", "",
-                            "Idle connections not used again: unread bytes, or closed."),
+                            "Idle connections not used again: unread bytes, closed, or in doubt."),
                1);
   curl_easy_setopt (x->easy, CURLOPT_FRESH_CONNECT, 1L);
   x->in_multi = curl_multi_add_handle (x->client->multi, x->easy) == CURLM_OK;
   return x->in_multi;
 }
 
-/* libcurl keeps the connection of an exchange whose response was complete, also if that response was rejected; the one
- * that the request is due may still come on it. Shut down, it counts as stale. */
-static void
-shut_connection (HttpExchange *x)
+/* @return the socket of the exchange's connection, or -1 if it has been closed. */
+static int
+connection_fd (const HttpExchange *x)
 {
   char *remote_ip = NULL;
   long remote_port = 0;
   long local_port = 0;
-  int fd;
 
   curl_easy_getinfo (x->easy, CURLINFO_PRIMARY_IP, &remote_ip);
   curl_easy_getinfo (x->easy, CURLINFO_PRIMARY_PORT, &remote_port);
   curl_easy_getinfo (x->easy, CURLINFO_LOCAL_PORT, &local_port);
-  fd = connection_table_find (x->client->connections,
-                              &(ConnectionEnds){ remote_ip, (int)remote_port, (int)local_port });
+  return connection_table_find (x->client->connections,
+                                &(ConnectionEnds){ remote_ip, (int)remote_port, (int)local_port });
+}
+
+/* libcurl keeps the connection of an exchange whose response was complete, also if that response was rejected; the one
+ * that the request is due may still come on it. Shut down, it counts as stale. */
+static void
+shut_connection (HttpExchange *x)
+{
+  int fd = connection_fd (x);
+
   if (fd >= 0)
     shutdown (fd, SHUT_RDWR);
 }
@@ -156,7 +163,10 @@
         continue;
       TALLOC_FREE (x->time_limit);
       if (result == HTTP_COMPLETE)
-        report_headers (x);
+        {
+          connection_table_trust (client->connections, connection_fd (x));
+          report_headers (x);
+        }
       if (result == HTTP_COMPLETE && x->aborted)
         shut_connection (x);
       x->events->done (x->data, x, result);
@@ -227,6 +237,12 @@
   return fd >= 0 && recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0;
 }
 
+static bool
+is_usable (const ConnectionTable *connections, int fd)
+{
+  return !is_stale (fd) && !connection_table_is_doubted (connections, fd);
+}
+
 /* libcurl retries a request by itself if a reused connection turns out to be closed. Whether a retry is
  * allowed is decided by the user of the exchange, so libcurl's own retry is aborted here. */
 static int
@@ -242,7 +258,7 @@
   if (http_exchange_opened_connection (x))
     connection_table_add (connections, &ends, x->opened_fd);
   else
-    x->stale_connection = is_stale (connection_table_find (connections, &ends));
+    x->stale_connection = !is_usable (connections, connection_table_find (connections, &ends));
   if (x->stale_connection)
     return CURL_PREREQFUNC_ABORT;
   x->request_started = true;
