--- a/tests/unit/test_config_source.c
+++ b/tests/unit/test_config_source.c
@@ -16,6 +16,22 @@
  * cores, where a route costs some 0.09 ms (docs/CAPACITY.md). */
 #define MAX_ROUTES_PER_STEP 128
 
+/* A busy host: the loop comes back to a timer that is due only after this time, and each look at the clock, of which each step
+ * of the parser needs one, takes a moment. */
+#define BUSY_TURN_MS 300
+#define STEP_MS      8
+
+/* From the store's reply; a third of the time in which the users want a change in force. */
+#define MAX_TAKEOVER_MS 800
+
+/* The service that the source gets; passes everything on, with the delays of a busy host while @p busy is set. */
+typedef struct
+{
+  Timers timers;
+  VirtualTimers *vt;
+  bool busy;
+} BusyTimers;
+
 /* A store with one open call of each watch, to which the test replies. */
 typedef struct
 {
@@ -28,15 +44,38 @@
 {
   Store store;
   VirtualTimers *vt;
+  BusyTimers busy;
   Rng rng;
   OpenCall config_call;
   OpenCall servers_call;
   ConfigSource *source;
   int64_t store_version;
-  char in_force[128]; /* versions in the order in which they were reported */
-  size_t n_routes;    /* of the last one */
+  char in_force[128];  /* versions in the order in which they were reported */
+  size_t n_routes;     /* of the last one */
+  int64_t in_force_ms; /* when it was reported */
 } Fixture;
 
+static int64_t
+busy_now_ms (Timers *timers)
+{
+  BusyTimers *b = (BusyTimers *)timers;
+
+  if (b->busy)
+    virtual_timers_run (b->vt, timers_now_ms (virtual_timers_service (b->vt)) + STEP_MS);
+  return timers_now_ms (virtual_timers_service (b->vt));
+}
+
+static Timer *
+busy_start (Timers *timers, const void *ctx, int64_t delay_ms, TimerFn fn, void *data)
+{
+  BusyTimers *b = (BusyTimers *)timers;
+
+  return timers_start (virtual_timers_service (b->vt), ctx,
+                       b->busy && delay_ms < BUSY_TURN_MS ? BUSY_TURN_MS : delay_ms, fn, data);
+}
+
+static const TimersOps BUSY_TIMERS_OPS = { busy_now_ms, busy_now_ms, busy_start };
+
 struct StoreCall
 {
   int unused;
@@ -73,6 +112,7 @@
 
   snprintf (fx->in_force + len, sizeof fx->in_force - len, "%d ", (int)catalog_version (catalog));
   fx->n_routes = catalog_n_routes (catalog);
+  fx->in_force_ms = timers_now_ms (virtual_timers_service (fx->vt));
   catalog_unref (catalog);
 }
 
@@ -88,7 +128,8 @@
   fx->store.ops = &OPS;
   fx->vt = virtual_timers_new (fx, 1000);
   rng_seed (&fx->rng, 1);
-  options.timers = virtual_timers_service (fx->vt);
+  fx->busy = (BusyTimers){ .timers.ops = &BUSY_TIMERS_OPS, .vt = fx->vt };
+  options.timers = &fx->busy.timers;
   fx->source = platform_config_source_new (fx, &options);
   return fx;
 }
@@ -164,6 +205,45 @@
   talloc_free (fx);
 }
 
+/* Guards against a host that is slow to take over a change because it is busy: one step in each of its long turns. */
+static void
+large_configuration_is_in_force_in_time_on_a_busy_host (void)
+{
+  Fixture *fx = fixture_new ();
+  int64_t received_ms = timers_now_ms (virtual_timers_service (fx->vt));
+
+  fx->busy.busy = true;
+  send_config (fx, 5, 1400);
+  run_until_idle (fx);
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "5 ");
+  CU_ASSERT (fx->in_force_ms - received_ms <= MAX_TAKEOVER_MS);
+  talloc_free (fx);
+}
+
+/* Guards against a host that serves nobody while it takes over a change: parsing takes no more time than the rest. */
+static void
+parsing_on_a_busy_host_takes_no_more_time_than_the_rest (void)
+{
+  Fixture *fx = fixture_new ();
+  int64_t longest_ms = 0;
+  bool more = true;
+
+  fx->busy.busy = true;
+  send_config (fx, 5, N_ROUTES);
+  while (more)
+    {
+      int64_t due_ms = virtual_timers_next_ms (fx->vt);
+      int64_t turn_ms;
+
+      more = virtual_timers_step (fx->vt);
+      turn_ms = more ? timers_now_ms (virtual_timers_service (fx->vt)) - due_ms : 0;
+      longest_ms = turn_ms > longest_ms ? turn_ms : longest_ms;
+    }
+  CU_ASSERT_STRING_EQUAL (fx->in_force, "5 ");
+  CU_ASSERT (longest_ms <= BUSY_TURN_MS + 2 * STEP_MS);
+  talloc_free (fx);
+}
+
 /* Guards against one step that does the work of many, whatever the number of steps. */
 static void
 no_step_adds_many_routes (void)
@@ -276,6 +356,10 @@
 {
   static const TestCase CASES[] = {
     { "large_configuration_is_taken_over_in_steps", large_configuration_is_taken_over_in_steps },
+    { "large_configuration_is_in_force_in_time_on_a_busy_host",
+      large_configuration_is_in_force_in_time_on_a_busy_host },
+    { "parsing_on_a_busy_host_takes_no_more_time_than_the_rest",
+      parsing_on_a_busy_host_takes_no_more_time_than_the_rest },
     { "no_step_adds_many_routes", no_step_adds_many_routes },
     { "small_configuration_is_in_force_at_once", small_configuration_is_in_force_at_once },
     { "newer_configuration_follows_the_one_that_is_parsed",
