http: give up a store's reply by its pauses, not by its length

What callers see: a host whose link is in use takes over a large configuration late or, if the reply takes longer than the call's limit (2.2 s; 880 KB are 0.7 s of an idle link of 10 Mbit/s), never: what had arrived is thrown away and asked for again.

Cause: the limit of a call counted from the request to the end of the reply.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -41,6 +41,9 @@
   void (*done) (void *data, HttpExchange *exchange, HttpResult result);
 } HttpEvents;
 
+/** A response that never pauses, but never ends, is given up after this many times the limit of one that has not begun. */
+#define STEADY_RESPONSE_FACTOR 8
+
 typedef struct
 {
   const char *method;
@@ -53,6 +56,9 @@
   /** Limit of the time from the start of the request to the end of the response; connecting has its own limit before
    * that. What had arrived when a limit was reached is read first, also if the loop was stalled. */
   int64_t timeout_ms;
+  /** If not 0, once the response has begun, the limit is this time without a byte of it, and STEADY_RESPONSE_FACTOR times
+   * timeout_ms for the whole response: a large one may take long on a link that is in use. */
+  int64_t stall_timeout_ms;
   /** Opens a new connection, which no later exchange reuses. */
   bool own_connection;
   /** An idle connection is not reused after this time; 0 for libcurl's default of 118 s. */
--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -27,6 +27,8 @@
   bool is_control;
   Timer *time_limit;
   int64_t timeout_ms;
+  int64_t stall_timeout_ms;
+  int64_t received_ms; /* when bytes of the response arrived last; set only with stall_timeout_ms */
   int64_t last_step_ms; /* when it opened a connection or, later, started the request; 0: not yet */
   bool in_multi;
   int opened_fd;         /* of the connection that it opened */
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -59,6 +59,19 @@
   x->in_multi = false;
 }
 
+static int64_t
+time_left_ms (const HttpExchange *x, int64_t now)
+{
+  int64_t end_ms = x->last_step_ms + x->timeout_ms;
+  int64_t last_ms = x->last_step_ms + STEADY_RESPONSE_FACTOR * x->timeout_ms;
+
+  if (x->last_step_ms == 0)
+    return 0;
+  if (x->received_ms > 0)
+    end_ms = x->received_ms + x->stall_timeout_ms;
+  return (end_ms < last_ms ? end_ms : last_ms) - now;
+}
+
 /* The limit is not libcurl's CURLOPT_TIMEOUT_MS: after a stall of the loop, libcurl ends an exchange in the very call
  * that tells it that the response has arrived. Timers fire after the sockets have been read. For the same reason the time
  * counts from the last step, connecting or the start of the request, if a stall has delayed that. */
@@ -67,7 +80,7 @@
 {
   HttpExchange *x = data;
   int64_t now = timers_now_ms (loop_timers (x->client->loop));
-  int64_t left_ms = x->last_step_ms > 0 ? x->last_step_ms + x->timeout_ms - now : 0;
+  int64_t left_ms = time_left_ms (x, now);
   HttpResult result;
 
   x->time_limit = NULL;
@@ -180,13 +193,21 @@
     traffic_received (bytes);
 }
 
+static void
+note_received (HttpExchange *x)
+{
+  x->response_started = true;
+  if (x->stall_timeout_ms > 0)
+    x->received_ms = timers_now_ms (loop_timers (x->client->loop));
+}
+
 static size_t
 on_body (char *bytes, size_t size, size_t n, void *data)
 {
   HttpExchange *x = data;
 
   count_received (x, size * n + PACKET_OVERHEAD_BYTES);
-  x->response_started = true;
+  note_received (x);
   report_headers (x);
   if (!x->aborted && x->events->body (x->data, x, bytes, size * n))
     return x->aborted ? CURL_WRITEFUNC_ERROR : size * n;
@@ -200,7 +221,7 @@
 
   (void)bytes;
   count_received (x, size * n);
-  x->response_started = true;
+  note_received (x);
   x->head_bytes += size * n;
   x->head_lines++;
   return x->head_bytes <= MAX_HEAD_BYTES && x->head_lines <= MAX_HEAD_LINES ? size * n : 0;
@@ -363,6 +384,7 @@
     }
   x->in_multi = true;
   x->timeout_ms = request->timeout_ms;
+  x->stall_timeout_ms = request->stall_timeout_ms;
   start_time_limit (x, x->timeout_ms);
   return x;
 }
