reach, tunnel: reach servers over another host when this one is cut off from them

Cause (hypothesis 1): nothing led around a cut; a host that can't connect to a server tries the next one, behind the same cut, and asks nobody whether it is the servers or itself. Class: a failure of the path is taken for a failure of what is at its end.

Connections to servers that only they reach go through an HTTP CONNECT tunnel over one of them, by libcurl's own means; a tunnel that is refused counts as a failed connect, so that nothing else changes for a request. The far side serves hosts of the registry and servers of the table only, and passes nothing on.

Ruled out: forwarding whole requests (two hosts would answer for one id), leaving the rotation (whole data centres).

--- a/scripts/served_by_host.py
+++ b/scripts/served_by_host.py
@@ -29,7 +29,8 @@
                 continue
             total[match[2]] += 1
             served[match[2]] += fields["reason"] == "none" and fields["status"].startswith("2")
-            reasons[fields["reason"]] += fields["reason"] != "none"
+            if fields["reason"] != "none":
+                reasons[fields["reason"]] += 1
     shares = sorted((served[h] / total[h], total[h]) for h in total if total[h] >= MIN_REQUESTS)
     return shares, reasons
 
--- a/src/backend/backend_http.c
+++ b/src/backend/backend_http.c
@@ -1,20 +1,28 @@
 #include "backend/backend_http.h"
 
+#include <stdio.h>
+
 #include <talloc.h>
 
 #define STREAM_RECEIVE_BUFFER_BYTES 1024
 
+/* In addition to the limit of a direct connection: another host needs time to say that it can't connect either. */
+#define TUNNEL_EXTRA_MS 200
+
+#define TUNNEL_STATUS_NOT_CONNECTED 502
+#define TUNNEL_STATUS_TIMED_OUT     504
+
 typedef struct
 {
   Backend backend;
-  HttpClient *client;
-  int64_t connect_timeout_ms;
+  BackendHttpOptions options;
 } BackendHttp;
 
 typedef struct
 {
   BackendCall call;
   HttpExchange *exchange;
+  ReachRoute route;
   const BackendEvents *events;
   void *data;
 } BackendHttpCall;
@@ -40,11 +48,62 @@
   return FAIL_RESPONSE_TRUNCATED;
 }
 
+/* --- Reach ------------------------------------------------------------------------------- */
+
+static int64_t
+now_ms (const BackendHttp *b)
+{
+  return timers_now_ms (http_client_timers (b->options.client));
+}
+
+static ReachRoute
+choose_route (const BackendHttp *b, const char *address)
+{
+  ReachRoute route = { .server = "" };
+
+  if (b->options.reach)
+    return reach_choose (b->options.reach, address, now_ms (b));
+  snprintf (route.server, sizeof route.server, "%s", address);
+  return route;
+}
+
+static void
+report_answer (const BackendHttpCall *c)
+{
+  const BackendHttp *b = (const BackendHttp *)c->call.backend;
+
+  if (b->options.reach)
+    reach_answered (b->options.reach, &c->route, http_exchange_opened_connection (c->exchange),
+                    now_ms (b));
+}
+
+static ReachResult
+reach_result (const BackendHttpCall *c)
+{
+  int status = c->route.helper[0] ? http_exchange_tunnel_status (c->exchange) : 0;
+
+  if (status == TUNNEL_STATUS_NOT_CONNECTED || status == TUNNEL_STATUS_TIMED_OUT)
+    return REACH_SERVER_UNREACHABLE;
+  return status > 0 ? REACH_HELPER_REFUSES : REACH_NO_CONNECTION;
+}
+
+static void
+report_result (const BackendHttpCall *c, HttpResult result)
+{
+  const BackendHttp *b = (const BackendHttp *)c->call.backend;
+
+  if (b->options.reach && (result == HTTP_FAILED_CONNECT || result == HTTP_TIMED_OUT_CONNECT))
+    reach_failed (b->options.reach, &c->route, reach_result (c), now_ms (b));
+}
+
+/* --- Events ------------------------------------------------------------------------------ */
+
 static void
 on_headers (void *data, HttpExchange *exchange, int status)
 {
   BackendHttpCall *c = data;
 
+  report_answer (c);
   if (!c->events->headers (c->data, &c->call, status))
     http_exchange_abort (exchange);
 }
@@ -75,6 +134,7 @@
                    || result == HTTP_TIMED_OUT_PARTIAL;
 
   (void)exchange;
+  report_result (c, result);
   if (result == HTTP_COMPLETE)
     c->events->end (c->data);
   else
@@ -97,16 +157,22 @@
           .n_headers = r->n_headers,
           .body = r->body,
           .body_len = r->body_len,
-          .connect_timeout_ms = b->connect_timeout_ms,
+          .connect_timeout_ms = b->options.connect_timeout_ms,
           .timeout_ms = r->timeout_ms,
           .own_connection = r->own_connection,
           .max_idle_ms = r->max_idle_ms,
           .receive_buffer_bytes = r->small_receive_buffer ? STREAM_RECEIVE_BUFFER_BYTES : 0 };
 
   c->call.backend = backend;
+  c->route = choose_route (b, r->address);
+  if (c->route.helper[0])
+    {
+      request.tunnel_over = c->route.helper;
+      request.connect_timeout_ms += TUNNEL_EXTRA_MS;
+    }
   c->events = events;
   c->data = data;
-  c->exchange = http_client_start (b->client, c, &request, &EVENTS, c);
+  c->exchange = http_client_start (b->options.client, c, &request, &EVENTS, c);
   talloc_free (url);
   if (c->exchange)
     return &c->call;
@@ -158,12 +224,11 @@
     = { start, cancel, resume, header, interim_header, each_header, is_first_exchange };
 
 Backend *
-backend_http_new (const void *ctx, HttpClient *client, int64_t connect_timeout_ms)
+backend_http_new (const void *ctx, const BackendHttpOptions *options)
 {
   BackendHttp *b = talloc_zero (ctx, BackendHttp);
 
   b->backend.ops = &OPS;
-  b->client = client;
-  b->connect_timeout_ms = connect_timeout_ms;
+  b->options = *options;
   return &b->backend;
 }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -126,6 +126,9 @@
 /** @return whether the server with this id is known, with another version than @p version (as in AssignmentServer). */
 bool dispatch_names_other_version (Dispatch *dispatch, const char *id, const char *version);
 
+/** @return whether a known server has this address. */
+bool dispatch_has_address (Dispatch *dispatch, const char *address);
+
 AssignmentServer assignment_server_state (const Assignment *assignment);
 const char *assignment_address (const Assignment *assignment);
 
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -133,6 +133,21 @@
   talloc_free (ended);
 }
 
+bool
+dispatch_has_address (Dispatch *d, const char *address)
+{
+  GHashTableIter iter;
+  gpointer value;
+  bool found = false;
+
+  pthread_mutex_lock (&d->lock);
+  g_hash_table_iter_init (&iter, d->servers);
+  while (!found && g_hash_table_iter_next (&iter, NULL, &value))
+    found = !strcmp (((Server *)value)->address, address);
+  pthread_mutex_unlock (&d->lock);
+  return found;
+}
+
 void
 dispatch_server_changed (Dispatch *d, const ServerRecord *r, int64_t now_ms)
 {
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -46,6 +46,7 @@
   const FrontendOptions *o = &frontend->options;
   bool own_thread = o->workers > 1;
   Worker *w = talloc_zero (own_thread ? NULL : (void *)frontend, Worker);
+  BackendHttpOptions backend = { .connect_timeout_ms = o->connect_timeout_ms, .reach = o->reach };
   HttpServerOptions server = { .listen = listen,
                                .max_body_bytes = o->max_body_bytes,
                                .max_header_bytes = o->max_header_bytes,
@@ -58,11 +59,12 @@
 
   w->loop = own_thread ? loop_new (w) : o->control_loop;
   w->client = http_client_new (w, w->loop);
+  backend.client = w->client;
   w->response_quota.limit_bytes = MAX_BUFFERED_RESPONSE_BYTES / o->workers;
   w->shared.catalog = o->catalog;
   w->shared.deps = (RelayDeps){ .timers = loop_timers (w->loop),
                                 .executor = loop_executor (w->loop),
-                                .backend = backend_http_new (w, w->client, o->connect_timeout_ms),
+                                .backend = backend_http_new (w, &backend),
                                 .dispatch = o->dispatch,
                                 .quarantine = o->quarantine,
                                 .streams = o->streams,
--- a/src/entry/frontend.h
+++ b/src/entry/frontend.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "catalog/current_catalog.h"
+#include "reach/reach.h"
 #include "relay/relay.h"
 
 typedef struct Frontend Frontend;
@@ -27,6 +28,7 @@
   Streams *streams;
   Budgets *budgets;
   Dialect *dialect;
+  Reach *reach;
 } FrontendOptions;
 
 /** Opens the port. @return a talloc object under @p ctx, or NULL after logging the error. */
--- a/src/fleet/registry.c
+++ b/src/fleet/registry.c
@@ -32,6 +32,7 @@
 {
   char *name;
   char *peer_address;
+  char *tunnel_address;
   char *data_centre;
   uint64_t incarnation;
   int64_t version;
@@ -65,6 +66,7 @@
 
   g_free (host->name);
   g_free (host->peer_address);
+  g_free (host->tunnel_address);
   g_free (host->data_centre);
   g_free (host);
 }
@@ -148,6 +150,7 @@
   if (json)
     {
       r->changed |= update_text (&host->peer_address, json, "peers");
+      r->changed |= update_text (&host->tunnel_address, json, "tunnels");
       r->changed |= update_text (&host->data_centre, json, "data_centre");
     }
   if (json && host->incarnation != incarnation_of (json))
@@ -209,8 +212,11 @@
 
       if (host->expired)
         continue;
-      r->hosts[r->n_hosts++]
-          = (RegistryHost){ host->name, host->peer_address, host->data_centre, host->incarnation };
+      r->hosts[r->n_hosts++] = (RegistryHost){ .name = host->name,
+                                               .peer_address = host->peer_address,
+                                               .tunnel_address = host->tunnel_address,
+                                               .data_centre = host->data_centre,
+                                               .incarnation = host->incarnation };
     }
   r->changed = false;
   log_event (LOG_LEVEL_NOTICE, "fleet", "hosts", "hosts=%zu before=%zu silent=%d", r->n_hosts,
@@ -270,13 +276,15 @@
 static void
 write_heartbeat (Registry *r)
 {
-  char value[400];
+  char value[600];
   StoreKey key = { REGISTRY_TABLE, "", r->options.host };
-  int len = snprintf (value, sizeof value,
-                      "{\"incarnation\":%" PRIu64
-                      ",\"data_centre\":\"%s\",\"operators\":\"%s\",\"peers\":\"%s\",\"round\":%d}",
-                      r->options.incarnation, r->options.data_centre, r->options.operator_address,
-                      r->options.peer_address, r->heartbeats);
+  int len = snprintf (
+      value, sizeof value,
+      "{\"incarnation\":%" PRIu64
+      ",\"data_centre\":\"%s\",\"operators\":\"%s\",\"peers\":\"%s\",\"tunnels\":\"%s\","
+      "\"round\":%d}",
+      r->options.incarnation, r->options.data_centre, r->options.operator_address,
+      r->options.peer_address, r->options.tunnel_address, r->heartbeats);
   StoreWrite write = { key, value, (size_t)len };
   StoreTxn txn = { .writes = &write, .n_writes = 1 };
 
@@ -383,6 +391,8 @@
   r->options.data_centre = talloc_strdup (r, options->data_centre);
   r->options.operator_address = talloc_strdup (r, options->operator_address);
   r->options.peer_address = talloc_strdup (r, options->peer_address);
+  r->options.tunnel_address
+      = talloc_strdup (r, options->tunnel_address ? options->tunnel_address : "");
   r->known_hosts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_known_host);
   r->listener = (StoreEraListener){ .restored = on_store_restored, .data = r };
   store_era_subscribe (&options->store->era, &r->listener);
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -23,6 +23,7 @@
   const char *data_centre;
   const char *operator_address; /* "IP:port" */
   const char *peer_address;     /* "IP:port"; "" if this host does not listen for peers */
+  const char *tunnel_address;   /* "IP:port"; "" if it opens no tunnels for other hosts */
   uint64_t incarnation;
   /** Called when the result of registry_hosts() has changed. */
   void (*changed) (void *data);
@@ -33,7 +34,7 @@
 Registry *registry_new (const void *ctx, const RegistryOptions *options);
 
 /** Parses the row of a host. @return a new JSON reference, or NULL if "operators" is missing or not a string.
- * "incarnation", "data_centre" and "peers" may be missing. */
+ * "incarnation", "data_centre", "peers" and "tunnels" may be missing. */
 json_t *registry_row_parse (const StoreRow *row);
 
 /** Stops the heartbeats and deletes this host's row. */
@@ -42,7 +43,8 @@
 typedef struct
 {
   const char *name;
-  const char *peer_address; /* "IP:port" or "" */
+  const char *peer_address;   /* "IP:port" or "" */
+  const char *tunnel_address; /* "IP:port" or "" */
   const char *data_centre;
   uint64_t incarnation;
 } RegistryHost;
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -160,7 +160,8 @@
                               .dispatch = h->dispatch,
                               .quarantine = h->quarantine,
                               .streams = h->streams,
-                              .budgets = h->budgets };
+                              .budgets = h->budgets,
+                              .reach = h->reach };
 
   options.dialect = s->platform_interface ? platform_dialect ()
                                           : native_dialect_new (h, s->host_name, h->incarnation);
@@ -223,6 +224,7 @@
                                .data_centre = s->data_centre,
                                .operator_address = s->listen_operators,
                                .peer_address = s->listen_peers,
+                               .tunnel_address = s->listen_tunnels,
                                .incarnation = h->incarnation,
                                .changed = host_on_hosts_changed,
                                .data = h };
@@ -240,6 +242,9 @@
 host_destroy (Host *h)
 {
   TALLOC_FREE (h->frontend);
+  TALLOC_FREE (h->tunnel_server);
+  TALLOC_FREE (h->prober);
+  TALLOC_FREE (h->reach);
   TALLOC_FREE (h->readiness_server);
   TALLOC_FREE (h->operator_server);
   TALLOC_FREE (h->config_source);
@@ -271,7 +276,7 @@
       return NULL;
     }
   make_dispatch_and_budgets (h);
-  if (!make_frontend (h) || !make_operator_and_readiness_servers (h))
+  if (!host_make_reach (h) || !make_frontend (h) || !make_operator_and_readiness_servers (h))
     {
       talloc_free (h);
       return NULL;
--- a/src/host/host_impl.h
+++ b/src/host/host_impl.h
@@ -15,7 +15,9 @@
 #include "operator/operator_server.h"
 #include "peer/peer_tcp.h"
 #include "quarantine/quarantine_rows.h"
+#include "reach/reach_prober.h"
 #include "streams/stream_rows.h"
+#include "tunnel/tunnel_server.h"
 
 struct Host
 {
@@ -35,6 +37,9 @@
   Streams *streams;
   StreamRows *stream_rows;
   Budgets *budgets;
+  Reach *reach;
+  ReachProber *prober;
+  TunnelServer *tunnel_server; /* NULL: opens no tunnels for other hosts */
   Frontend *frontend;
   ReadinessServer *readiness_server;
   Rotation rotation;
@@ -81,6 +86,12 @@
 /* @return false if the message is not about backend servers. */
 bool host_on_server_message (Host *h, const Pond__Envelope *envelope);
 
+/* host_reach.c: servers that are reached over other hosts.
+ * @return false after a log line if the port for tunnels can't be opened. */
+bool host_make_reach (Host *h);
+/* Passes the current list of hosts on. */
+void host_update_reach (Host *h);
+
 /* host_quarantine.c: requests under which servers end. */
 void host_make_quarantine (Host *h);
 /* Starts to read and write the rows of the store. */
--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -82,6 +82,7 @@
   quarantine_set_hosts (h->quarantine, (int)n);
   streams_set_hosts (h->streams, (int)n);
   config_source_set_host_count (h->config_source, (int)n);
+  host_update_reach (h);
   budgets_set_hosts (h->budgets, candidates, n_candidates);
   talloc_free (candidates);
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -61,6 +61,9 @@
   int64_t stall_timeout_ms;
   /** Opens a new connection, which no later exchange reuses. */
   bool own_connection;
+  /** "IP:port" of an HTTP proxy that is asked for a tunnel to the server; NULL: connects directly. That it gives none proves like
+   * a failed connect that nothing was sent. */
+  const char *tunnel_over;
   /** An idle connection is not reused after this time; 0 for libcurl's default of 118 s. */
   int64_t max_idle_ms;
   /** Size of the receive buffer that each exchange keeps, at least 1024; 0 for libcurl's 16 KB. */
@@ -107,5 +110,8 @@
 
 int http_exchange_status (HttpExchange *exchange);
 
+/** @return the status with which the proxy has answered the request for a tunnel; 0: not at all. */
+int http_exchange_tunnel_status (HttpExchange *exchange);
+
 /** @return true if the exchange opened a new connection. */
 bool http_exchange_opened_connection (HttpExchange *exchange);
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -297,6 +297,18 @@
   return 0;
 }
 
+static void
+set_tunnel (CURL *e, const char *proxy)
+{
+  curl_easy_setopt (e, CURLOPT_NOPROXY, proxy ? "" : "*");
+  if (!proxy)
+    return;
+  curl_easy_setopt (e, CURLOPT_PROXY, proxy);
+  curl_easy_setopt (e, CURLOPT_PROXYTYPE, (long)CURLPROXY_HTTP);
+  curl_easy_setopt (e, CURLOPT_HTTPPROXYTUNNEL, 1L);
+  curl_easy_setopt (e, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+}
+
 static void
 set_options (HttpExchange *x, const HttpRequest *request)
 {
@@ -313,7 +325,7 @@
   if (request->receive_buffer_bytes)
     curl_easy_setopt (e, CURLOPT_BUFFERSIZE, (long)request->receive_buffer_bytes);
   curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (e, CURLOPT_NOPROXY, "*");
+  set_tunnel (e, request->tunnel_over);
   curl_easy_setopt (e, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (e, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)request->connect_timeout_ms);
@@ -445,3 +457,12 @@
   curl_easy_getinfo (x->easy, CURLINFO_RESPONSE_CODE, &status);
   return (int)status;
 }
+
+int
+http_exchange_tunnel_status (HttpExchange *x)
+{
+  long status = 0;
+
+  curl_easy_getinfo (x->easy, CURLINFO_HTTP_CONNECTCODE, &status);
+  return (int)status;
+}
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -24,6 +24,7 @@
 static const Field LISTEN_FIELDS[] = {
   { .key = "callers", .kind = FIELD_ADDRESS, .required = true },
   { .key = "peers", .kind = FIELD_ADDRESS },
+  { .key = "tunnels", .kind = FIELD_ADDRESS },
   { .key = "readiness", .kind = FIELD_ADDRESS },
   { .key = "operators", .kind = FIELD_ADDRESS, .required = true },
 };
@@ -170,6 +171,7 @@
   s->region = talloc_strdup (s, toml_string (host, "region", ""));
   s->listen_clients = talloc_strdup (s, toml_string (listen, "callers", ""));
   s->listen_peers = talloc_strdup (s, toml_string (listen, "peers", ""));
+  s->listen_tunnels = talloc_strdup (s, toml_string (listen, "tunnels", ""));
   s->listen_readiness = talloc_strdup (s, toml_string (listen, "readiness", ""));
   s->listen_operators = talloc_strdup (s, toml_string (listen, "operators", ""));
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -27,6 +27,7 @@
   const char *region;
   const char *listen_clients;   /* "IP:port" */
   const char *listen_peers;     /* "": disabled */
+  const char *listen_tunnels;   /* "": other hosts can't reach servers over this one */
   const char *listen_readiness; /* "": disabled */
   const char *listen_operators;
   const char *platform_address;
--- a/tests/unit/test_backend_http.c
+++ b/tests/unit/test_backend_http.c
@@ -174,7 +174,8 @@
   snprintf (f->address, sizeof f->address, "127.0.0.1:%u", ntohs (at.sin_port));
   f->loop = loop_new (f);
   f->client = http_client_new (f, f->loop);
-  f->backend = backend_http_new (f, f->client, 5000);
+  f->backend = backend_http_new (
+      f, &(BackendHttpOptions){ .client = f->client, .connect_timeout_ms = 5000 });
   return f;
 }
 
--- a/tests/unit/test_endless.c
+++ b/tests/unit/test_endless.c
@@ -218,7 +218,8 @@
   void *ctx = talloc_new (NULL);
   Loop *loop = loop_new (ctx);
   HttpClient *client = http_client_new (ctx, loop);
-  Backend *backend = backend_http_new (ctx, client, 5000);
+  Backend *backend = backend_http_new (
+      ctx, &(BackendHttpOptions){ .client = client, .connect_timeout_ms = 5000 });
   Totals *totals = talloc_zero (ctx, Totals);
   Request *requests = talloc_zero_array (ctx, Request, N_REQUESTS);
   size_t before = allocated_bytes ();
--- a/tests/unit/test_reuse.c
+++ b/tests/unit/test_reuse.c
@@ -191,7 +191,9 @@
 {
   void *ctx = talloc_new (NULL);
   Loop *loop = loop_new (ctx);
-  Backend *backend = backend_http_new (ctx, http_client_new (ctx, loop), 5000);
+  Backend *backend
+      = backend_http_new (ctx, &(BackendHttpOptions){ .client = http_client_new (ctx, loop),
+                                                      .connect_timeout_ms = 5000 });
   struct sockaddr_in at = { .sin_family = AF_INET };
   socklen_t len = sizeof at;
   Server s = { .time = time, .listener = socket (AF_INET, SOCK_STREAM, 0) };
--- /dev/null
+++ b/tests/unit/test_tunnel.c
@@ -0,0 +1,279 @@
+/* Requests to a server over another host: what comes back, and what is refused. Over the loopback interface, with the HTTP
+ * client that asks and the server that opens the tunnels in one loop. */
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <talloc.h>
+
+#include "backend/backend_http.h"
+#include "canned_server.h"
+#include "harness.h"
+#include "tunnel/tunnel_server.h"
+
+#define GONE_LIMIT_MS 500 /* a client that leaves has to stop its server within this time */
+#define LONG_BYTES    3000000
+
+static const char RESPONSE[] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+typedef struct
+{
+  Loop *loop;
+  HttpClient *client;
+  TunnelServer *tunnels;
+  char *helper; /* address of the tunnels */
+  bool refuses_peers;
+  bool knows_server;
+  bool cannot_help;
+  bool done;
+  HttpResult result;
+  int status;
+  int tunnel_status;
+  size_t n_body;
+} Fixture;
+
+static bool
+is_host (void *data, const Address *peer)
+{
+  (void)peer;
+  return !((Fixture *)data)->refuses_peers;
+}
+
+static bool
+is_server (void *data, const char *address)
+{
+  (void)address;
+  return ((Fixture *)data)->knows_server;
+}
+
+static bool
+cannot_help (void *data, const char *address)
+{
+  (void)address;
+  return ((Fixture *)data)->cannot_help;
+}
+
+static void
+fixture_start (Fixture *f)
+{
+  TunnelServerOptions options = { .listen = "127.0.0.1:0",
+                                  .max_tunnels = 4,
+                                  .is_host = is_host,
+                                  .is_server = is_server,
+                                  .cannot_help = cannot_help,
+                                  .data = f };
+
+  *f = (Fixture){ .loop = loop_new (NULL), .knows_server = true };
+  options.loop = f->loop;
+  f->client = http_client_new (f->loop, f->loop);
+  f->tunnels = tunnel_server_new (f->loop, &options);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f->tunnels);
+  f->helper = talloc_asprintf (f->loop, "127.0.0.1:%u", tunnel_server_port (f->tunnels));
+}
+
+static void
+fixture_stop (Fixture *f)
+{
+  TALLOC_FREE (f->client);
+  TALLOC_FREE (f->tunnels);
+  talloc_free (f->loop);
+}
+
+static bool
+on_body (void *data, HttpExchange *x, const char *bytes, size_t len)
+{
+  (void)x;
+  (void)bytes;
+  ((Fixture *)data)->n_body += len;
+  return true;
+}
+
+static void
+on_done (void *data, HttpExchange *x, HttpResult result)
+{
+  Fixture *f = data;
+
+  f->done = true;
+  f->result = result;
+  f->status = http_exchange_status (x);
+  f->tunnel_status = http_exchange_tunnel_status (x);
+}
+
+static const HttpEvents EVENTS = { .body = on_body, .done = on_done };
+
+static HttpExchange *
+start (Fixture *f, const char *server)
+{
+  HttpRequest request = { .method = "GET",
+                          .url = talloc_asprintf (f->loop, "http://%s/x", server),
+                          .connect_timeout_ms = 2000,
+                          .timeout_ms = 5000,
+                          .tunnel_over = f->helper };
+
+  f->done = false;
+  f->n_body = 0;
+  return http_client_start (f->client, f->client, &request, &EVENTS, f);
+}
+
+static void
+request (Fixture *f, const char *server)
+{
+  HttpExchange *x = start (f, server);
+
+  while (!f->done)
+    tevent_loop_once (loop_tevent (f->loop));
+  talloc_free (x);
+}
+
+/* Guards against a response that is changed on its way over another host, and against one that is only read in part. */
+static void
+response_comes_whole_over_another_host (void)
+{
+  char *text = malloc (LONG_BYTES + 100);
+  int head = sprintf (text, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", LONG_BYTES);
+  Fixture f;
+  CannedServer server;
+
+  memset (text + head, 'x', LONG_BYTES);
+  text[head + LONG_BYTES] = '\0';
+  fixture_start (&f);
+  request (&f, canned_server_start (f.loop, &server, text));
+  CU_ASSERT_EQUAL (f.result, HTTP_COMPLETE);
+  CU_ASSERT_EQUAL (f.status, 200);
+  CU_ASSERT_EQUAL (f.n_body, LONG_BYTES);
+  fixture_stop (&f);
+  canned_server_stop (&server);
+  free (text);
+}
+
+/* Guards against requests that count as sent although no server has seen them, and against a way into servers for everybody. */
+static void
+refused_tunnel_is_a_failed_connect (void)
+{
+  static const int STATUS[] = { 403, 503, 502, 0 };
+
+  for (int i = 0; i < 4; i++)
+    {
+      Fixture f;
+      CannedServer server;
+      char *address;
+
+      fixture_start (&f);
+      address = canned_server_start (f.loop, &server, RESPONSE);
+      f.knows_server = i != 0;
+      f.cannot_help = i == 1;
+      f.refuses_peers = i == 3;
+      request (&f, i == 2 ? closed_address (f.loop) : address);
+      CU_ASSERT_EQUAL (f.result, HTTP_FAILED_CONNECT);
+      CU_ASSERT_EQUAL (f.tunnel_status, STATUS[i]);
+      CU_ASSERT_EQUAL (server.requests, 0);
+      CU_ASSERT_EQUAL (tunnel_server_count (f.tunnels), 0);
+      fixture_stop (&f);
+      canned_server_stop (&server);
+    }
+}
+
+/* Sends a head without a length and a part of the body. Then resets the connection, or waits until it is closed. */
+typedef struct
+{
+  int listener;
+  bool resets;
+  pthread_t thread;
+  atomic_bool was_closed;
+} OddServer;
+
+static void *
+serve (void *data)
+{
+  static const char PART[] = "HTTP/1.1 200 OK\r\n\r\npart";
+  OddServer *s = data;
+  struct linger linger = { .l_onoff = 1 };
+  int fd = accept (s->listener, NULL, NULL);
+  char bytes[4096];
+
+  if (recv (fd, bytes, sizeof bytes, 0) <= 0 || send (fd, PART, sizeof PART - 1, MSG_NOSIGNAL) < 0)
+    CU_FAIL ("no request");
+  usleep (50000);
+  if (s->resets)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  else
+    s->was_closed = recv (fd, bytes, sizeof bytes, 0) <= 0;
+  close (fd);
+  return NULL;
+}
+
+static char *
+odd_server_start (const void *ctx, OddServer *s, bool resets)
+{
+  struct sockaddr_in at = { .sin_family = AF_INET };
+  socklen_t len = sizeof at;
+
+  *s = (OddServer){ .listener = socket (AF_INET, SOCK_STREAM, 0), .resets = resets };
+  at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_EQUAL (bind (s->listener, (struct sockaddr *)&at, sizeof at), 0);
+  CU_ASSERT_EQUAL (listen (s->listener, 4), 0);
+  getsockname (s->listener, (struct sockaddr *)&at, &len);
+  CU_ASSERT_EQUAL (pthread_create (&s->thread, NULL, serve, s), 0);
+  return talloc_asprintf (ctx, "127.0.0.1:%u", ntohs (at.sin_port));
+}
+
+static void
+odd_server_stop (OddServer *s)
+{
+  pthread_join (s->thread, NULL);
+  close (s->listener);
+}
+
+/* Guards against a response that was reset on the way and looks complete. */
+static void
+reset_of_the_server_comes_through (void)
+{
+  Fixture f;
+  OddServer server;
+
+  fixture_start (&f);
+  request (&f, odd_server_start (f.loop, &server, true));
+  CU_ASSERT_EQUAL (f.result, HTTP_FAILED_PARTIAL);
+  fixture_stop (&f);
+  odd_server_stop (&server);
+}
+
+/* Guards against a server that works on for a client that has left. */
+static void
+client_that_leaves_stops_the_server (void)
+{
+  Fixture f;
+  OddServer server;
+  HttpExchange *x;
+  int64_t left_ms;
+
+  fixture_start (&f);
+  x = start (&f, odd_server_start (f.loop, &server, false));
+  while (f.n_body == 0)
+    tevent_loop_once (loop_tevent (f.loop));
+  left_ms = timers_now_ms (loop_timers (f.loop));
+  talloc_free (x);
+  while (tunnel_server_count (f.tunnels) > 0)
+    tevent_loop_once (loop_tevent (f.loop));
+  CU_ASSERT (timers_now_ms (loop_timers (f.loop)) - left_ms < GONE_LIMIT_MS);
+  odd_server_stop (&server);
+  CU_ASSERT (server.was_closed);
+  fixture_stop (&f);
+}
+
+int
+main (void)
+{
+  static const TestCase CASES[] = {
+    { "response_comes_whole_over_another_host", response_comes_whole_over_another_host },
+    { "refused_tunnel_is_a_failed_connect", refused_tunnel_is_a_failed_connect },
+    { "reset_of_the_server_comes_through", reset_of_the_server_comes_through },
+    { "client_that_leaves_stops_the_server", client_that_leaves_stops_the_server },
+  };
+
+  return harness_run ("tunnel", CASES, sizeof CASES / sizeof CASES[0]);
+}
