relay: an attempt without a connection takes no retry

What callers see: hosts that can't connect to some servers refuse with retries_exhausted what other servers, or other hosts, would take.

The limits are about requests that reach servers; of these attempts no server has seen anything. Class: a limit that is charged for intentions rather than effects.

Change: an attempt draws on the limits only if an earlier one may have reached a server; a request counts once for the share, however often it is tried.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -265,7 +265,7 @@
              q->service->name);
   else
     {
-      if (!q->is_retry)
+      if (!q->is_retry && !q->is_counted)
         retry_budget_count_request (&p->retry_budget, &d->options.retries, q->now_ms);
       a = assignment_new (d, ctx, p, s, q, &c);
     }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -92,7 +92,8 @@
 {
   const CatalogService *service;
   int64_t now_ms;
-  bool is_retry;       /* not the first attempt of the request: counts against the retry limits */
+  bool is_retry; /* an earlier attempt may have reached a server: counts against the retry limits */
+  bool is_counted;     /* an earlier attempt has been counted as a request for the retry limits */
   const char *version; /* only servers of this version, as in AssignmentServer; NULL: of any */
   const ServerVersions *allowed; /* only servers of these; NULL: of any */
   Tokens prompt_tokens;
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -29,7 +29,8 @@
 
   *q = (DispatchQuery){ .service = request->service,
                         .now_ms = timers_now_ms (r->deps->timers),
-                        .is_retry = r->sends > 0,
+                        .is_retry = r->arrivals > 0,
+                        .is_counted = r->sends > 0,
                         .version = relay_required_version (r),
                         .allowed = allowed,
                         .prompt_tokens = request->prompt_tokens,
@@ -202,6 +203,8 @@
   a->call = NULL;
   if (point == FAIL_BEFORE_CONNECT || point == FAIL_CONNECT)
     relay_return_trial (r);
+  else
+    r->arrivals++;
   relay_end_attempt (r, assignment_result (a, point));
   if (!failure_proves_not_run (point))
     r->runs++;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -83,6 +83,7 @@
       [DISPATCH_MAX_TRIED]; /* hashes of the addresses whose servers stated that it did not run */
   size_t n_refused_at;
   int sends;             /* attempts started */
+  int arrivals;          /* ended attempts that may have reached a server */
   int runs;              /* attempts that may have run */
   bool response_started; /* part of the response was sent to the client */
   bool write_blocked;    /* until relay_client_writable() */
--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -9,6 +9,7 @@
 #include "core/rng.h"
 #include "dispatch/dispatch.h"
 #include "harness.h"
+#include "relay_fixture.h"
 
 #define MAX_HOSTS 100
 #define WINDOW_MS 10000
@@ -254,10 +255,84 @@
   for_each_fleet (restart_all);
 }
 
+/* @return how many requests the host may send again to the fixture's service; uses them up. */
+static int
+take_retries (RelayFixture *f)
+{
+  DispatchQuery query
+      = { .service = f->service, .now_ms = timers_now_ms (f->deps.timers), .is_retry = true };
+  Assignment *a;
+  Err err = ERR_INIT;
+  int n = 0;
+
+  for (; (a = dispatch_pick (f->dispatch, f, &query, &err)); n++)
+    assignment_end (a, ASSIGNMENT_CANCELLED, query.now_ms);
+  CU_ASSERT_EQUAL (err.kind, ERR_RETRIES_EXHAUSTED);
+  return n;
+}
+
+/* Guards against a host that refuses what it could still serve because it couldn't connect before: the limits are about
+ * requests that reach servers. A request counts once for them, however often it is tried. */
+static void
+attempt_without_a_connection_takes_no_retry (void)
+{
+  static const FailurePoint POINTS[]
+      = { FAIL_BEFORE_CONNECT, FAIL_CONNECT, FAIL_REJECTED, FAIL_NO_RESPONSE };
+
+  for (int i = 0; i < 4; i++)
+    {
+      RelayFixture *f = relay_fixture_new (CALL_IDEMPOTENT);
+      bool reached = i >= 2;
+
+      take_retries (f);
+      relay_fixture_start (f);
+      fake_backend_fail (relay_fixture_last_call (f), POINTS[i]);
+      CU_ASSERT_EQUAL (f->backend->n_calls, reached ? 1 : 2);
+      CU_ASSERT_EQUAL (f->n_responses, reached ? 1 : 0);
+      if (!reached)
+        {
+          fake_backend_fail (relay_fixture_last_call (f), FAIL_NO_RESPONSE);
+          CU_ASSERT_EQUAL (f->backend->n_calls, 2);
+          CU_ASSERT_EQUAL (f->status, 502);
+        }
+      relay_fixture_free (f);
+    }
+}
+
+/* Guards against a share of retries that grows with each failed connect. */
+static void
+request_that_is_tried_again_counts_once_for_the_share (void)
+{
+  int taken[2];
+
+  for (int tries = 1; tries <= 3; tries += 2)
+    {
+      RelayFixture *f = relay_fixture_new (CALL_IDEMPOTENT);
+
+      for (int i = 0; i < 100 * tries; i++)
+        {
+          DispatchQuery query = { .service = f->service,
+                                  .now_ms = timers_now_ms (f->deps.timers),
+                                  .is_counted = i % tries > 0 };
+          Err err = ERR_INIT;
+
+          assignment_end (dispatch_pick (f->dispatch, f, &query, &err), ASSIGNMENT_UNREACHABLE,
+                          query.now_ms);
+        }
+      taken[tries / 2] = take_retries (f);
+      relay_fixture_free (f);
+    }
+  CU_ASSERT (taken[0] > 40);
+  CU_ASSERT_EQUAL (taken[1], taken[0]);
+}
+
 int
 main (void)
 {
   static const TestCase CASES[] = {
+    { "attempt_without_a_connection_takes_no_retry", attempt_without_a_connection_takes_no_retry },
+    { "request_that_is_tried_again_counts_once_for_the_share",
+      request_that_is_tried_again_counts_once_for_the_share },
     { "retries_of_a_steady_fleet_stay_within_the_limit",
       retries_of_a_steady_fleet_stay_within_the_limit },
     { "retries_stay_within_the_limit_while_hosts_join",
