http: a response that ends in its head is not complete

Change: a response is complete only if the empty line after its final head has come. Interim heads and trailers, which come through the same callback, don't count.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -34,7 +34,8 @@
 static HttpResult
 result_of (HttpExchange *x, CURLcode code)
 {
-  if (code == CURLE_OK && !x->aborted)
+  /* libcurl takes a connection that is closed in the middle of a head for the end of a response without a body. */
+  if (code == CURLE_OK && !x->aborted && x->head_complete)
     return HTTP_COMPLETE;
   return failure_of (x, code == CURLE_OPERATION_TIMEDOUT);
 }
@@ -214,12 +215,20 @@
   return x->aborted ? CURL_WRITEFUNC_ERROR : CURL_WRITEFUNC_PAUSE;
 }
 
+/* Lines of interim (1xx) heads and of trailers come too. */
+static void
+note_head_line (HttpExchange *x, const char *line, size_t len)
+{
+  if (len > 0 && (line[0] == '\n' || (len > 1 && line[0] == '\r' && line[1] == '\n')))
+    x->head_complete = http_exchange_status (x) >= 200;
+}
+
 static size_t
 on_header (char *bytes, size_t size, size_t n, void *data)
 {
   HttpExchange *x = data;
 
-  (void)bytes;
+  note_head_line (x, bytes, size * n);
   count_received (x, size * n);
   note_received (x);
   x->head_bytes += size * n;
--- a/tests/unit/test_http_results.c
+++ b/tests/unit/test_http_results.c
@@ -186,6 +186,60 @@
   canned_server_stop (&server);
 }
 
+/* Guards against a response that ends in the middle of its head and is passed on as whole, with an empty body. */
+static void
+response_that_ends_in_its_head_is_not_complete (void)
+{
+  static const char *const RESPONSES[] = {
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n",
+    "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Requ",
+    "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n\r",
+    "HTTP/1.1 100 Continue\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+    "HTTP/1.1 204 No Content\r\n",
+  };
+
+  for (size_t i = 0; i < sizeof RESPONSES / sizeof RESPONSES[0]; i++)
+    {
+      HttpFixture *f = fixture_new ();
+      CannedServer server;
+
+      start_exchange (f, canned_server_start (f, &server, RESPONSES[i]), 10, LONG_TIMEOUT_MS);
+      wait_for_done (f);
+      CU_ASSERT_EQUAL (f->result, HTTP_FAILED_PARTIAL);
+      CU_ASSERT_EQUAL (f->n_headers_events, 0);
+      fixture_free (f);
+      canned_server_stop (&server);
+    }
+}
+
+/* Guards against whole responses that count as cut because other heads or trailers come with them. */
+static void
+response_with_interim_heads_and_trailers_is_complete (void)
+{
+  static const char *const RESPONSES[] = {
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nok",
+    "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: b\r\n\r\n",
+    "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+  };
+
+  for (size_t i = 0; i < sizeof RESPONSES / sizeof RESPONSES[0]; i++)
+    {
+      HttpFixture *f = fixture_new ();
+      CannedServer server;
+
+      start_exchange (f, canned_server_start (f, &server, RESPONSES[i]), 10, LONG_TIMEOUT_MS);
+      wait_for_done (f);
+      CU_ASSERT_EQUAL (f->result, HTTP_COMPLETE);
+      CU_ASSERT_EQUAL (f->n_headers_events, 1);
+      fixture_free (f);
+      canned_server_stop (&server);
+    }
+}
+
 /* --- No response ------------------------------------------------------------------------- */
 
 /* Guards against a refused connection that is reported as a sent request. */
@@ -468,6 +522,10 @@
 {
   static const TestCase TESTS[] = {
     { "responses_map_to_results", responses_map_to_results },
+    { "response_that_ends_in_its_head_is_not_complete",
+      response_that_ends_in_its_head_is_not_complete },
+    { "response_with_interim_heads_and_trailers_is_complete",
+      response_with_interim_heads_and_trailers_is_complete },
     { "paused_body_is_delivered_again", paused_body_is_delivered_again },
     { "refused_connection_is_a_connect_failure", refused_connection_is_a_connect_failure },
     { "unresponsive_server_is_not_a_connect_failure",
