tests: streams taken up at hosts that have just come back

Report of other operators: a host that was out of step while workers of a new version joined took up streams and sent them on to a worker of another version (ORDER). Here a take-up waits for a read of the store that began after it, and what is not known is refused, so that the age of what a host knew before doesn't count. A host that stands still in the middle of a read is covered by reading only.

--- a/tests/unit/test_stream_fleet.c
+++ b/tests/unit/test_stream_fleet.c
@@ -217,6 +217,39 @@
     }
 }
 
+/* Guards against hosts that take up streams in the first moments after a cut, by what they knew before it: a second version has
+ * joined meanwhile, and other hosts have begun streams there. */
+static void
+hosts_that_have_just_come_back_join_no_streams (void)
+{
+  for (size_t i = 0; i < N_SIZES; i++)
+    for (uint64_t seed = 0; seed < SIZES[i].seeds; seed++)
+      {
+        StreamFleet *f = fleet_new (SIZES[i].hosts, SIZES[i].streams_per_s, 451 + 10 * i + seed,
+                                    "v1", SIZES[i].servers);
+
+        stream_fleet_run (f, 2000);
+        stream_fleet_cut (f, f->options.hosts / 3, true);
+        stream_fleet_run (f, 500);
+        stream_fleet_add_servers (f, "v2", SIZES[i].servers);
+        stream_fleet_run (f, 500);
+        stream_fleet_remove_servers (f, "v1", SIZES[i].servers - 1);
+        stream_fleet_run (f, 2000 + 500 * (int64_t)seed);
+        stream_fleet_break_connections (f);
+        stream_fleet_cut (f, f->options.hosts / 3, false);
+        for (int k = 0; k < 8; k++)
+          {
+            stream_fleet_run (f, 40);
+            stream_fleet_break_connections (f);
+          }
+        stream_fleet_run (f, 3000);
+        print_counts (f, "just back");
+        CU_ASSERT (f->counts.joined <= MAX_JOINED);
+        CU_ASSERT (f->counts.taken_up > 0);
+        stream_fleet_free (f);
+      }
+}
+
 /* Guards against a small new version that gets no streams, or a last server of the old one that gets too many. */
 static void
 small_versions_are_neither_starved_nor_overloaded (void)
@@ -268,6 +301,8 @@
       kill_at_the_first_server_of_a_version_joins_no_streams },
     { "releases_inside_releases_join_no_streams", releases_inside_releases_join_no_streams },
     { "hosts_cut_from_the_store_join_no_streams", hosts_cut_from_the_store_join_no_streams },
+    { "hosts_that_have_just_come_back_join_no_streams",
+      hosts_that_have_just_come_back_join_no_streams },
     { "small_versions_are_neither_starved_nor_overloaded",
       small_versions_are_neither_starved_nor_overloaded },
     { "fleet_of_350_hosts_joins_no_streams", fleet_of_350_hosts_joins_no_streams },
