http: do not begin a request whose client has left before it was read

Cause: the end of a connection is told once (EPOLLRDHUP, edge-triggered). If that was before its request was read, there was no call to tell it to, and nobody looked again: the request was served to its end for nobody. Class: an edge that is taken before there is a state to keep it in.

Change: a request that is whole is not begun if its connection has been closed by the client; counter pond_requests_abandoned_total.

--- a/src/http/server_request.c
+++ b/src/http/server_request.c
@@ -1,11 +1,13 @@
 #include "http/server_impl.h"
 
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #include <talloc.h>
 
+#include "core/counter.h"
 #include "http/traffic.h"
 
 /* A body above the limit is read and discarded up to this multiple of it: a client that is still
@@ -101,6 +103,20 @@
   call->server->events->request (call->server->data, call, call->fault);
 }
 
+/* The end of a connection is told only once, which may have been before its request was read. */
+static bool
+client_has_left (const HttpCall *call)
+{
+  struct pollfd fd = { .fd = call->connection->fd, .events = POLLRDHUP };
+
+  if (poll (&fd, 1, 0) <= 0 || !(fd.revents & (POLLRDHUP | POLLHUP | POLLERR)))
+    return false;
+  counter_add (counter_get ("pond_requests_abandoned_total", "",
+                            "Requests whose clients had left before they were read."),
+               1);
+  return true;
+}
+
 static enum MHD_Result
 start_call (HttpCall *call, struct MHD_Connection *mhd, const char *method)
 {
@@ -149,6 +165,8 @@
       *upload_len = 0;
       return MHD_YES;
     }
+  if (!call->delivered && client_has_left (call))
+    return MHD_NO;
   if (!call->delivered)
     deliver_request (call);
   if (call->response || call->aborted)
--- a/tests/unit/test_client_connections.c
+++ b/tests/unit/test_client_connections.c
@@ -311,7 +311,34 @@
   fixture_stop (&f);
 }
 
+/* Guards against a request that is served although its client has left before it was read: nobody wants the response, and the
+ * end of the connection is not told a second time. */
+static void
+request_whose_client_has_left_is_not_reported (void)
+{
+  for (int stalls = 0; stalls < 2; stalls++)
+    {
+      ConnectionFixture f;
+
+      fixture_start (&f, LONG_LIMIT_MS, LONG_LIMIT_MS);
+      f.holds_requests = true;
+      run_loop_for (&f, 20);
+      send_bytes (&f, REQUEST, sizeof REQUEST - 1);
+      shutdown (f.fd, SHUT_WR);
+      if (stalls)
+        usleep (100000);
+      run_loop_for (&f, 100);
+      CU_ASSERT_EQUAL (f.n_held, 0);
+      receive (&f);
+      CU_ASSERT (f.closed);
+      CU_ASSERT_EQUAL (f.n_received, 0);
+      fixture_stop (&f);
+    }
+}
+
 static const TestCase CASES[] = {
+  { "request_whose_client_has_left_is_not_reported",
+    request_whose_client_has_left_is_not_reported },
   { "request_that_came_during_a_stall_is_answered_on_an_expired_connection",
     request_that_came_during_a_stall_is_answered_on_an_expired_connection },
   { "body_that_came_during_a_stall_is_not_answered_with_408",
