--- a/tests/unit/test_brittle.c
+++ b/tests/unit/test_brittle.c
@@ -88,7 +88,7 @@
       dispatch_set_hosts (f->hosts[i], list, (size_t)n_hosts, 0);
       for (int s = 0; s < N_SERVERS; s++)
         {
-          char id[8];
+          char id[16];
           ServerRecord record = { .id = id,
                                   .service = "s",
                                   .address = id,
