--- a/src/host/host_reach.c
+++ b/src/host/host_reach.c
@@ -49,12 +49,15 @@
   return dispatch_has_address (h->dispatch, address);
 }
 
-static bool
-cannot_help (void *data, const char *address)
+static TunnelHelp
+help (void *data, const char *address)
 {
   Host *h = data;
+  ReachView view = reach_view (h->reach, address, host_now_ms (h));
 
-  return h->drain_started_ms > 0 || reach_is_cut_off (h->reach, address, host_now_ms (h));
+  if (h->drain_started_ms > 0 || view == REACH_VIEW_CUT_OFF_ALL)
+    return TUNNEL_HELPS_NOBODY;
+  return view == REACH_VIEW_CUT_OFF ? TUNNEL_CANNOT_CONNECT : TUNNEL_CONNECTS;
 }
 
 static bool
@@ -65,7 +68,7 @@
                                   .max_tunnels = MAX_TUNNELS,
                                   .is_host = is_host,
                                   .is_server = is_server,
-                                  .cannot_help = cannot_help,
+                                  .help = help,
                                   .data = h };
 
   if (!options.listen[0])
--- a/src/reach/reach.c
+++ b/src/reach/reach.c
@@ -48,12 +48,11 @@
 {
   char address[REACH_ADDRESS_BYTES];
   int64_t used_ms;
-  int64_t heard_ms; /* last answer on a direct connection; 0: never */
-  int64_t
-      failed_ms; /* last direct connection that failed; 0: none since the last one that succeeded */
-  bool cut_off;  /* a helper has connected after a direct connection had failed */
-  int64_t cut_off_ms;    /* when that was last seen */
-  int64_t down_until_ms; /* helpers could not connect either */
+  int64_t failed_ms;  /* first direct connection that failed; 0: none since one that succeeded */
+  bool cut_off;       /* a helper has connected after a direct connection had failed */
+  int64_t cut_off_ms; /* when that was last seen */
+  char helper[REACH_ADDRESS_BYTES]; /* address of that helper */
+  int64_t down_until_ms;            /* helpers could not connect either */
   /* The check over helpers that a failed direct connection gives rise to. */
   CheckState check;
   uint64_t asked[MAX_HELPERS_ASKED];   /* hashes of the names of the helpers that were asked */
@@ -138,6 +137,7 @@
 
   s->cut_off_ms = now;
   s->down_until_ms = 0;
+  snprintf (s->helper, sizeof s->helper, "%s", helper);
   if (s->cut_off)
     return;
   s->cut_off = true;
@@ -254,11 +254,22 @@
   return NULL;
 }
 
+/* Not every helper reaches the server: one that has connected to it is asked first. */
+static const Helper *
+proved_helper (Reach *r, const KnownServer *s, int64_t now)
+{
+  const Helper *h = s->cut_off ? find_helper (r, s->helper) : NULL;
+
+  return h && now >= h->skip_until_ms ? h : NULL;
+}
+
 static bool
 set_helper (Reach *r, const KnownServer *s, bool for_check, ReachRoute *route, int64_t now)
 {
-  const Helper *h = choose_helper (r, s, for_check, now);
+  const Helper *h = for_check ? NULL : proved_helper (r, s, now);
 
+  if (!h)
+    h = choose_helper (r, s, for_check, now);
   if (!h)
     return false;
   counter_add (r->over_helpers, 1);
@@ -352,29 +363,37 @@
 void
 reach_failed (Reach *r, const ReachRoute *route, ReachResult result, int64_t now)
 {
+  KnownServer *s;
   bool wanted = false;
 
   pthread_mutex_lock (&r->lock);
+  s = get_server (r, route->server, now);
   if (route->helper[0])
     note_helper_result (r, route->helper, result, now);
-  else
-    wanted = want_check (r, get_server (r, route->server, now), now);
+  /* The helper does not reach it, or it is down: other helpers tell. */
+  if (route->helper[0] && result == REACH_SERVER_UNREACHABLE)
+    clear_cut_off (r, s, "none");
+  if (!route->helper[0] || result == REACH_SERVER_UNREACHABLE)
+    wanted = want_check (r, s, now);
   pthread_mutex_unlock (&r->lock);
   if (wanted && r->options.probe_wanted)
     r->options.probe_wanted (r->options.data);
 }
 
-bool
-reach_is_cut_off (Reach *r, const char *address, int64_t now)
+ReachView
+reach_view (Reach *r, const char *address, int64_t now)
 {
   const KnownServer *s;
-  bool cut_off;
+  ReachView view = REACH_VIEW_DIRECT;
 
   pthread_mutex_lock (&r->lock);
   s = get_server (r, address, now);
-  cut_off = s->cut_off || is_suspected (r, now);
+  if (s->cut_off)
+    view = REACH_VIEW_CUT_OFF;
+  if (is_suspected (r, now))
+    view = REACH_VIEW_CUT_OFF_ALL;
   pthread_mutex_unlock (&r->lock);
-  return cut_off;
+  return view;
 }
 
 /* --- Probes ------------------------------------------------------------------------------ */
--- a/src/reach/reach.h
+++ b/src/reach/reach.h
@@ -41,8 +41,8 @@
 {
   REACH_CONNECTED,
   REACH_NO_CONNECTION,  /* to the next hop, the server or the helper: it refuses, or says nothing */
-  REACH_HELPER_REFUSES, /* it is cut off from the server itself, full, or about to end */
-  REACH_SERVER_UNREACHABLE /* the helper has tried in vain */
+  REACH_HELPER_REFUSES, /* it is cut off from all servers itself, full, or about to end */
+  REACH_SERVER_UNREACHABLE /* the helper has tried in vain, or knows that it would */
 } ReachResult;
 
 typedef struct
@@ -68,8 +68,15 @@
 /** No connection to the server came about. */
 void reach_failed (Reach *reach, const ReachRoute *route, ReachResult result, int64_t now_ms);
 
-/** @return whether this host knows that it can't connect to the server itself. */
-bool reach_is_cut_off (Reach *reach, const char *address, int64_t now_ms);
+/** What this host knows of its own way to a server. */
+typedef enum
+{
+  REACH_VIEW_DIRECT,     /* nothing speaks against a direct connection */
+  REACH_VIEW_CUT_OFF,    /* it can't connect to this server */
+  REACH_VIEW_CUT_OFF_ALL /* nor, by all that it knows, to any other */
+} ReachView;
+
+ReachView reach_view (Reach *reach, const char *address, int64_t now_ms);
 
 /** @return true if a connection is to be tried over @p route, without a request, and reach_probed() to be called with the
  * result: over another host, because a direct one has failed; or directly, to a server that is reached over others. */
--- a/src/tunnel/tunnel_server.c
+++ b/src/tunnel/tunnel_server.c
@@ -25,8 +25,17 @@
 
   if (!o->is_server (o->data, address))
     return 403;
-  if (tunnel_server_count (s) > o->max_tunnels || o->cannot_help (o->data, address))
+  if (tunnel_server_count (s) > o->max_tunnels)
     return 503;
+  switch (o->help (o->data, address))
+    {
+    case TUNNEL_HELPS_NOBODY:
+      return 503;
+    case TUNNEL_CANNOT_CONNECT:
+      return 502;
+    case TUNNEL_CONNECTS:
+      break;
+    }
   return 200;
 }
 
--- a/src/tunnel/tunnel_server.h
+++ b/src/tunnel/tunnel_server.h
@@ -9,6 +9,14 @@
 
 typedef struct TunnelServer TunnelServer;
 
+/** What this host can do for another one that asks for a server. */
+typedef enum
+{
+  TUNNEL_CONNECTS,
+  TUNNEL_CANNOT_CONNECT, /* it is cut off from that server itself */
+  TUNNEL_HELPS_NOBODY    /* it is draining, or cut off from all servers */
+} TunnelHelp;
+
 typedef struct
 {
   Loop *loop;
@@ -18,8 +26,7 @@
   bool (*is_host) (void *data, const Address *peer);
   /** @return whether a backend server has this address. */
   bool (*is_server) (void *data, const char *address);
-  /** @return whether this host can't help: it is draining, or cut off from the server itself. */
-  bool (*cannot_help) (void *data, const char *address);
+  TunnelHelp (*help) (void *data, const char *address);
   void *data;
 } TunnelServerOptions;
 
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -144,6 +144,7 @@
 {
   int limit_ms = f->refuses ? 2 : CONNECT_LIMIT_MS;
   int helper;
+  ReachView view;
 
   t->ends_ms = f->now + 2;
   t->result = REACH_CONNECTED;
@@ -157,8 +158,11 @@
       return;
     }
   helper = index_of (t->route.helper);
-  if (reach_is_cut_off (f->hosts[helper], t->route.server, f->now))
+  view = reach_view (f->hosts[helper], t->route.server, f->now);
+  if (view == REACH_VIEW_CUT_OFF_ALL)
     t->result = REACH_HELPER_REFUSES;
+  else if (view == REACH_VIEW_CUT_OFF)
+    t->result = REACH_SERVER_UNREACHABLE;
   else if (is_cut (f, helper, t->server) || f->down[t->server])
     {
       t->result = REACH_SERVER_UNREACHABLE;
@@ -427,6 +431,28 @@
   talloc_free (f);
 }
 
+/* Guards against a helper that is asked again and again although it doesn't reach the server itself: each server has lost the
+ * path to other hosts. */
+static void
+hosts_find_a_helper_that_reaches_the_server (void)
+{
+  for (int refuses = 0; refuses < 2; refuses++)
+    {
+      Fleet *f = fleet_new (9, 21, HOSTS_PER_CENTRE);
+
+      f->refuses = refuses;
+      run (f, 2000, 50);
+      for (int s = 0; s < 21; s++)
+        for (int h = 0; h < 9; h++)
+          f->cut[h * 21 + s] = (h + s) % 9 != 0 && (h + s) % 9 != 4;
+      run (f, 4000, 50);
+      open_window (f);
+      run (f, 6000, 50);
+      check_all_served (f);
+      talloc_free (f);
+    }
+}
+
 int
 main (void)
 {
@@ -440,6 +466,7 @@
       fleet_that_is_cut_off_as_a_whole_asks_nobody },
     { "host_goes_back_to_direct_connections_after_the_cut",
       host_goes_back_to_direct_connections_after_the_cut },
+    { "hosts_find_a_helper_that_reaches_the_server", hosts_find_a_helper_that_reaches_the_server },
     { "host_that_is_cut_off_from_some_servers_reaches_the_others_itself",
       host_that_is_cut_off_from_some_servers_reaches_the_others_itself },
   };
--- a/tests/unit/test_tunnel.c
+++ b/tests/unit/test_tunnel.c
@@ -28,7 +28,7 @@
   char *helper; /* address of the tunnels */
   bool refuses_peers;
   bool knows_server;
-  bool cannot_help;
+  TunnelHelp help;
   bool done;
   HttpResult result;
   int status;
@@ -50,11 +50,11 @@
   return ((Fixture *)data)->knows_server;
 }
 
-static bool
-cannot_help (void *data, const char *address)
+static TunnelHelp
+help (void *data, const char *address)
 {
   (void)address;
-  return ((Fixture *)data)->cannot_help;
+  return ((Fixture *)data)->help;
 }
 
 static void
@@ -64,7 +64,7 @@
                                   .max_tunnels = 4,
                                   .is_host = is_host,
                                   .is_server = is_server,
-                                  .cannot_help = cannot_help,
+                                  .help = help,
                                   .data = f };
 
   *f = (Fixture){ .loop = loop_new (NULL), .knows_server = true };
@@ -154,9 +154,9 @@
 static void
 refused_tunnel_is_a_failed_connect (void)
 {
-  static const int STATUS[] = { 403, 503, 502, 0 };
+  static const int STATUS[] = { 403, 503, 502, 502, 0 };
 
-  for (int i = 0; i < 4; i++)
+  for (int i = 0; i < 5; i++)
     {
       Fixture f;
       CannedServer server;
@@ -165,9 +165,9 @@
       fixture_start (&f);
       address = canned_server_start (f.loop, &server, RESPONSE);
       f.knows_server = i != 0;
-      f.cannot_help = i == 1;
-      f.refuses_peers = i == 3;
-      request (&f, i == 2 ? closed_address (f.loop) : address);
+      f.help = i == 1 ? TUNNEL_HELPS_NOBODY : i == 2 ? TUNNEL_CANNOT_CONNECT : TUNNEL_CONNECTS;
+      f.refuses_peers = i == 4;
+      request (&f, i == 3 ? closed_address (f.loop) : address);
       CU_ASSERT_EQUAL (f.result, HTTP_FAILED_CONNECT);
       CU_ASSERT_EQUAL (f.tunnel_status, STATUS[i]);
       CU_ASSERT_EQUAL (server.requests, 0);
