host: a drain waits for tunnels on which requests are open

What callers would see: a host that helps others is stopped, and requests that came in elsewhere are cut off, for a planned stop.

Cause: the drain counted the host's own requests only.

Change: tunnels on which a request may be open (not answered yet, or bytes passed within 3 s) keep the drain open, within its deadline; the others are closed, so that kept connections don't.

--- a/src/host/host_drain.c
+++ b/src/host/host_drain.c
@@ -43,7 +43,9 @@
 {
   int64_t age = host_now_ms (h) - h->drain_started_ms;
   int64_t deadline = h->settings->drain_deadline_ms;
-  bool idle = frontend_open_requests (h->frontend) == 0;
+  size_t tunnels
+      = h->tunnel_server ? tunnel_server_close_idle (h->tunnel_server, host_now_ms (h)) : 0;
+  bool idle = frontend_open_requests (h->frontend) == 0 && tunnels == 0;
   /* Tokens are returned from the start of the drain on: other hosts would otherwise lack them until the last stream
    * of this host ends. */
   bool holds_tokens = budgets_return_all (h->budgets);
--- a/src/tunnel/tunnel.c
+++ b/src/tunnel/tunnel.c
@@ -26,6 +26,9 @@
 /* Nothing has passed in either direction. Longer than servers pause, and than idle connections to them are kept. */
 #define IDLE_LIMIT_MS 30000
 
+/* Nothing has passed for so long, and the server has answered: no request is open. Clients give a stream up sooner. */
+#define QUIET_MS 3000
+
 /* Of bytes that one side has sent and the other has not taken. */
 #define BUFFER_BYTES 16384
 
@@ -62,7 +65,8 @@
   Side server;
   char address[ADDRESS_BYTES]; /* of the server */
   Timer *limit;
-  int64_t passed_ms;
+  int64_t passed_ms;  /* when bytes passed last */
+  bool awaits_server; /* they came from the other host */
   uint64_t bytes;
 };
 
@@ -187,6 +191,7 @@
       return false;
     }
   from->ended = n == 0;
+  t->awaits_server = from == &t->host;
   b->end = (size_t)n;
   traffic_received (b->end);
   return send_on (t, from, to);
@@ -378,6 +383,12 @@
     on_request_read (t, text);
 }
 
+bool
+tunnel_is_busy (const Tunnel *t, int64_t now_ms)
+{
+  return t->state != TUNNEL_OPEN || t->awaits_server || now_ms - t->passed_ms < QUIET_MS;
+}
+
 Tunnel *
 tunnel_new (const void *ctx, const TunnelOptions *options, int fd, List *list)
 {
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -3,6 +3,9 @@
  * server. Bytes are passed on unchanged in both directions. Control loop only. */
 #pragma once
 
+#include <stdbool.h>
+#include <stdint.h>
+
 #include "core/list.h"
 #include "core/loop.h"
 
@@ -20,3 +23,7 @@
  * passed for too long. @param list the tunnel is in it while it exists.
  * @return a talloc object under @p ctx. */
 Tunnel *tunnel_new (const void *ctx, const TunnelOptions *options, int fd, List *list);
+
+/** @return whether a request may be open on the tunnel: it is being opened, the server has not answered yet, or something has
+ * passed a moment ago. */
+bool tunnel_is_busy (const Tunnel *tunnel, int64_t now_ms);
--- a/src/tunnel/tunnel_server.c
+++ b/src/tunnel/tunnel_server.c
@@ -81,6 +81,20 @@
   return n;
 }
 
+size_t
+tunnel_server_close_idle (TunnelServer *s, int64_t now_ms)
+{
+  ListNode *next;
+
+  for (ListNode *n = list_first (&s->tunnels); n; n = next)
+    {
+      next = list_next (&s->tunnels, n);
+      if (!tunnel_is_busy ((Tunnel *)n, now_ms))
+        talloc_free (n); /* the first member of a tunnel */
+    }
+  return tunnel_server_count (s);
+}
+
 static int
 tunnel_server_destroy (TunnelServer *s)
 {
--- a/src/tunnel/tunnel_server.h
+++ b/src/tunnel/tunnel_server.h
@@ -35,5 +35,8 @@
 
 uint16_t tunnel_server_port (const TunnelServer *server);
 
+/** Closes the tunnels on which no request can be open. @return the number of the others. */
+size_t tunnel_server_close_idle (TunnelServer *server, int64_t now_ms);
+
 /** @return the number of tunnels, those that are being opened included. */
 size_t tunnel_server_count (const TunnelServer *server);
--- a/tests/unit/test_tunnel.c
+++ b/tests/unit/test_tunnel.c
@@ -265,6 +265,42 @@
   fixture_stop (&f);
 }
 
+/* Guards against a host that stops and cuts off requests of other hosts, and against one that waits for kept connections. */
+static void
+host_that_stops_keeps_tunnels_with_open_requests (void)
+{
+  for (int answers = 0; answers < 2; answers++)
+    {
+      Fixture f;
+      OddServer server = { 0 };
+      char *silent = NULL;
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      struct sockaddr_in at = { .sin_family = AF_INET };
+      socklen_t len = sizeof at;
+      HttpExchange *x;
+      int64_t now;
+
+      fixture_start (&f);
+      at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+      CU_ASSERT_EQUAL (bind (fd, (struct sockaddr *)&at, sizeof at), 0);
+      CU_ASSERT_EQUAL (listen (fd, 4), 0);
+      getsockname (fd, (struct sockaddr *)&at, &len);
+      silent = talloc_asprintf (f.loop, "127.0.0.1:%u", ntohs (at.sin_port));
+      x = start (&f, answers ? odd_server_start (f.loop, &server, false) : silent);
+      now = timers_now_ms (loop_timers (f.loop));
+      while (answers ? f.n_body == 0 : timers_now_ms (loop_timers (f.loop)) < now + 200)
+        tevent_loop_once (loop_tevent (f.loop));
+      now = timers_now_ms (loop_timers (f.loop));
+      CU_ASSERT_EQUAL (tunnel_server_close_idle (f.tunnels, now), 1);
+      CU_ASSERT_EQUAL (tunnel_server_close_idle (f.tunnels, now + 10000), answers ? 0 : 1);
+      talloc_free (x);
+      if (answers)
+        odd_server_stop (&server);
+      close (fd);
+      fixture_stop (&f);
+    }
+}
+
 int
 main (void)
 {
@@ -273,6 +309,8 @@
     { "refused_tunnel_is_a_failed_connect", refused_tunnel_is_a_failed_connect },
     { "reset_of_the_server_comes_through", reset_of_the_server_comes_through },
     { "client_that_leaves_stops_the_server", client_that_leaves_stops_the_server },
+    { "host_that_stops_keeps_tunnels_with_open_requests",
+      host_that_stops_keeps_tunnels_with_open_requests },
   };
 
   return harness_run ("tunnel", CASES, sizeof CASES / sizeof CASES[0]);
