relay: a refused connection takes a retry again

Servers that a request has just ended refuse connections, and the request went on to the next server without drawing on the limits: one send too many under which servers end.

Change: an attempt counts unless nothing at all has answered it. A refused connection is an answer; a silent path, which is what a cut looks like, is none.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -133,6 +133,7 @@
   log_word (r->version, sizeof r->version, assignment_server_state (assignment).version);
   relay_record_version (r, assignment);
   a->call = send_request (r, a);
+  a->no_connection = !a->call;
   if (!a->call)
     fail_attempt (r, a, FAIL_BEFORE_CONNECT, ERR_CONNECT_FAILED);
 }
@@ -203,8 +204,7 @@
   a->call = NULL;
   if (point == FAIL_BEFORE_CONNECT || point == FAIL_CONNECT)
     relay_return_trial (r);
-  else
-    r->arrivals++;
+  r->arrivals += !a->no_connection;
   relay_end_attempt (r, assignment_result (a, point));
   if (!failure_proves_not_run (point))
     r->runs++;
@@ -349,6 +349,7 @@
 
   if (is_stale (a))
     return;
+  a->no_connection = point == FAIL_CONNECT && timed_out;
   if (a->check == RESPONSE_MISDIRECTED || (point == FAIL_CONNECT && !timed_out))
     relay_report_refused (r, a);
   /* These responses prove that the server did not run the request, however the exchange ended. */
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -54,6 +54,8 @@
   SseParser sse;
   char *body;
   size_t body_len;
+  bool
+      no_connection; /* nothing answered on the way to the server, not even a refusal of the connection */
   Tokens body_usage; /* usage reported in the body; -1 if none */
 } Attempt;
 
--- a/tests/fakes/fake_backend.c
+++ b/tests/fakes/fake_backend.c
@@ -102,6 +102,15 @@
   c->events->failed (c->data, point, false);
 }
 
+void
+fake_backend_time_out_connecting (FakeBackendCall *c)
+{
+  if (!c->open)
+    return;
+  c->open = false;
+  c->events->failed (c->data, FAIL_CONNECT, true);
+}
+
 void
 fake_backend_send_head (FakeBackendCall *c, int status, const char *const *headers)
 {
--- a/tests/fakes/fake_backend.h
+++ b/tests/fakes/fake_backend.h
@@ -46,3 +46,6 @@
 
 /** Ends the call with a failure at @p point of the exchange. */
 void fake_backend_fail (FakeBackendCall *call, FailurePoint point);
+
+/** Ends the call because nothing has answered the attempt to connect. */
+void fake_backend_time_out_connecting (FakeBackendCall *call);
