review: case 4, requests at a worker whose removal a host learned late after a cut from the store

Cause: the retry delay and the connection limit of the store watch (1.1 s together) come before the 2 s removal grace, which runs from when the removal was read; the sum is longer than contact_ms.

--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -2,6 +2,10 @@
  * nothing but the C library.
  *
  *   rig worker PORT ID SERVICE STORE_PORT LOG ZONE  a worker; SIGUSR1: dark for new connections, SIGUSR2: reachable again
+ *                                              SIGTERM: leaves without notice: removes its entry, serves on for some seconds, ends
+ *   rig proxy PORT TARGET_PORT                    passes connections on; SIGUSR1: nothing gets through, in either direction, and new
+ *                                              connections get no answer; SIGUSR2: all goes on
+ *   rig load PORT PREFIX LOG SECONDS PAUSE_MS     bookings of one client on a kept connection, one after the other
  *   rig call PORT METHOD PATH ID LOG TIMEOUT_MS   one request of a client; prints one line on how it ended
  *   rig post PORT PATH BODY                       a call of the store's stand-in (its /admin/ paths)
  *   rig ready PORT PATH TEXT TIMEOUT_MS           waits until GET PATH is answered with 200 and a body that holds TEXT
@@ -186,8 +190,9 @@
 #define NOTE_EVENTS   5
 #define LOOKUP_PARTS  4
 #define LOOKUP_MS     200
-#define BOOKING_MS    30
+#define BOOKING_MS    5
 #define N_FILLERS     4
+#define LEAVE_MS      9000
 #define DARK_BACKLOG  0
 #define USUAL_BACKLOG 64
 
@@ -199,6 +204,14 @@
 static int worker_store_port;
 static long long worker_born;
 static atomic_int wish_dark;
+static atomic_int wish_leave;
+
+static void
+on_leave (int signum)
+{
+  (void)signum;
+  atomic_store (&wish_leave, 1);
+}
 
 static void
 on_dark (int signum)
@@ -376,7 +389,7 @@
   char body[512];
 
   (void)data;
-  for (int sequence = 1;; sequence++)
+  for (int sequence = 1; !atomic_load (&wish_leave); sequence++)
     {
       snprintf (body, sizeof body,
                 "{\"table\":\"servers\",\"key\":\"%s\",\"value\":{\"service\":\"%s\",\"address\":"
@@ -384,16 +397,22 @@
                 "\"cold_remaining_ms\":0,\"born\":%lld,\"sequence\":%d}}",
                 worker_id, worker_service, worker_port, worker_zone, worker_born, sequence);
       exchange (worker_store_port, "POST", "/admin/put", body, m, 1000);
-      sleep_ms (1200);
+      for (int i = 0; i < 120 && !atomic_load (&wish_leave); i++)
+        sleep_ms (10);
     }
-  return NULL;
+  snprintf (body, sizeof body, "{\"table\":\"servers\",\"key\":\"%s\",\"value\":null}", worker_id);
+  if (exchange (worker_store_port, "POST", "/admin/put", body, m, 1000) == 200)
+    record (worker_log, "worker %s left acknowledged", worker_id);
+  sleep_ms (LEAVE_MS);
+  record (worker_log, "worker %s ends", worker_id);
+  _exit (0);
 }
 
 /* Fills the queue of new connections, so that further ones get no answer, as on a path that is cut. */
 static void
-fill_queue (int listener, int *fillers)
+fill_queue (int listener, int port, int *fillers)
 {
-  struct sockaddr_in a = loopback (worker_port);
+  struct sockaddr_in a = loopback (port);
 
   listen (listener, DARK_BACKLOG);
   for (int i = 0; i < N_FILLERS; i++)
@@ -432,6 +451,7 @@
     }
   signal (SIGUSR1, on_dark);
   signal (SIGUSR2, on_dark);
+  signal (SIGTERM, on_leave);
   pthread_create (&thread, NULL, beat, NULL);
   for (;;)
     {
@@ -440,7 +460,7 @@
       if (atomic_load (&wish_dark) && !is_dark)
         {
           is_dark = true;
-          fill_queue (listener, fillers);
+          fill_queue (listener, worker_port, fillers);
           record (worker_log, "worker %s dark", worker_id);
         }
       if (!atomic_load (&wish_dark) && is_dark)
@@ -466,6 +486,100 @@
     }
 }
 
+/* --- Proxy ------------------------------------------------------------------------------- */
+
+static int proxy_target;
+
+typedef struct
+{
+  int from;
+  int to;
+} Pipe;
+
+/* What has arrived while nothing gets through is passed on afterwards, as by a sender that repeats it. */
+static void *
+pass_on (void *data)
+{
+  Pipe *p = data;
+  char bytes[16384];
+  ssize_t n;
+
+  for (;;)
+    {
+      struct pollfd fd = { .fd = p->from, .events = POLLIN };
+
+      if (atomic_load (&wish_dark) || poll (&fd, 1, 20) <= 0)
+        {
+          sleep_ms (1);
+          continue;
+        }
+      if (atomic_load (&wish_dark))
+        continue;
+      n = recv (p->from, bytes, sizeof bytes, 0);
+      if (n <= 0 || !send_all (p->to, bytes, (size_t)n))
+        break;
+    }
+  shutdown (p->from, SHUT_RDWR);
+  shutdown (p->to, SHUT_RDWR);
+  return NULL;
+}
+
+static int
+run_proxy (char **argv)
+{
+  int port = atoi (argv[0]);
+  struct sockaddr_in a = loopback (port);
+  int listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int fillers[N_FILLERS];
+  int one = 1;
+  bool is_dark = false;
+  pthread_t thread;
+
+  proxy_target = atoi (argv[1]);
+  setsockopt (listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (listener, (struct sockaddr *)&a, sizeof a) < 0 || listen (listener, USUAL_BACKLOG) < 0)
+    return 2;
+  signal (SIGUSR1, on_dark);
+  signal (SIGUSR2, on_dark);
+  for (;;)
+    {
+      struct pollfd p = { .fd = listener, .events = POLLIN };
+      Pipe *pipes;
+      int fd;
+      int to;
+
+      if (atomic_load (&wish_dark))
+        {
+          if (!is_dark)
+            fill_queue (listener, port, fillers);
+          is_dark = true;
+          sleep_ms (1);
+          continue;
+        }
+      if (is_dark)
+        {
+          is_dark = false;
+          listen (listener, USUAL_BACKLOG);
+          for (int i = 0; i < N_FILLERS; i++)
+            close (fillers[i]);
+        }
+      if (poll (&p, 1, 20) <= 0 || (fd = accept4 (listener, NULL, NULL, SOCK_CLOEXEC)) < 0)
+        continue;
+      to = connect_to (proxy_target);
+      if (to < 0)
+        {
+          close (fd);
+          continue;
+        }
+      pipes = calloc (2, sizeof *pipes);
+      pipes[0] = (Pipe){ fd, to };
+      pipes[1] = (Pipe){ to, fd };
+      for (int i = 0; i < 2; i++)
+        if (pthread_create (&thread, NULL, pass_on, &pipes[i]) == 0)
+          pthread_detach (thread);
+    }
+}
+
 /* --- Client ------------------------------------------------------------------------------ */
 
 /* @return whether the body is complete by its framing; its plain bytes are put into @p body. */
@@ -575,6 +689,49 @@
   return 0;
 }
 
+static int
+run_load (char **argv)
+{
+  static Message m;
+  int port = atoi (argv[0]);
+  int64_t until = now_ms () + atoll (argv[3]) * 1000;
+  int served = 0;
+  int others = 0;
+  int fd = -1;
+
+  for (int n = 1; now_ms () < until; n++)
+    {
+      char head[512];
+      int status = 0;
+      int r = 1;
+
+      if (fd < 0)
+        fd = connect_to (port);
+      snprintf (head, sizeof head,
+                "POST /book/%d HTTP/1.1\r\nHost: review.example\r\nX-Request-Id: %s-%d\r\n"
+                "X-Deadline-Milliseconds: 2000\r\nAuthorization: Bearer review-key\r\nContent-Length: 0\r\n\r\n",
+                n, argv[1], n);
+      m = (Message){ .len = 0 };
+      if (fd >= 0 && send_all (fd, head, strlen (head)))
+        while (r > 0 && !is_complete (&m))
+          r = read_more (fd, &m, now_ms () + 2500);
+      if (m.head_len)
+        sscanf (m.bytes, "HTTP/1.1 %d", &status);
+      served += status == 200;
+      others += status != 200;
+      if (status != 200)
+        record (argv[2], "client ends request=%s-%d status=%d", argv[1], n, status);
+      if (fd >= 0 && (r <= 0 || !strcasecmp (header (&m, "Connection"), "close")))
+        {
+          close (fd);
+          fd = -1;
+        }
+      sleep_ms (atoi (argv[4]));
+    }
+  record (argv[2], "client %s served=%d others=%d", argv[1], served, others);
+  return 0;
+}
+
 /* --- Helpers ----------------------------------------------------------------------------- */
 
 static int
@@ -621,6 +778,10 @@
     return run_worker (argv + 2);
   if (!strcmp (verb, "call") && argc == 8)
     return run_call (argv + 2);
+  if (!strcmp (verb, "proxy") && argc == 4)
+    return run_proxy (argv + 2);
+  if (!strcmp (verb, "load") && argc == 7)
+    return run_load (argv + 2);
   if (!strcmp (verb, "post") && argc == 5)
     return exchange (atoi (argv[2]), "POST", argv[3], argv[4], &m, 2000) == 200 ? 0 : 1;
   if (!strcmp (verb, "ready") && argc == 6)
