--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -63,9 +63,8 @@
   sleep 3.7
 }
 
-began=$SECONDS
 for n in $(seq $ROUNDS); do
-  [ $((SECONDS - began)) -lt 100 ] || break
+  [ $SECONDS -lt 108 ] || break
   round "$n"
 done
 
