--- a/src/http/client.h
+++ b/src/http/client.h
@@ -41,6 +41,11 @@
   void (*done) (void *data, HttpExchange *exchange, HttpResult result);
 } HttpEvents;
 
+/** A header of the answer to a request for a tunnel. With this value, the tunnel ends in order only where the server has ended its
+ * connection in order; it is reset if whoever passes the bytes on ends before that. */
+#define TUNNEL_END_HEADER "Tunnel-End"
+#define TUNNEL_END_PROVED "proved"
+
 /** A response that never pauses, but never ends, is given up after this many times the limit of one that has not begun. */
 #define STEADY_RESPONSE_FACTOR 8
 
@@ -62,7 +67,8 @@
   /** Opens a new connection, which no later exchange reuses. */
   bool own_connection;
   /** "IP:port" of an HTTP proxy that is asked for a tunnel to the server; NULL: connects directly. That it gives none proves like
-   * a failed connect that nothing was sent. */
+   * a failed connect that nothing was sent. A response that has no other end than that of the connection is only complete if
+   * the proxy has sent TUNNEL_END_HEADER. */
   const char *tunnel_over;
   /** An idle connection is not reused after this time; 0 for libcurl's default of 118 s. */
   int64_t max_idle_ms;
@@ -113,5 +119,9 @@
 /** @return the status with which the proxy has answered the request for a tunnel; 0: not at all. */
 int http_exchange_tunnel_status (HttpExchange *exchange);
 
+/** @return whether the response has a length or chunks, or can have no body, so that its end is known by itself. Otherwise it
+ * ends with its connection, also if its server has ended in the middle. To be called from headers on. */
+bool http_exchange_has_framed_end (HttpExchange *exchange);
+
 /** @return true if the exchange opened a new connection. */
 bool http_exchange_opened_connection (HttpExchange *exchange);
--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -25,6 +25,9 @@
   char *body;
   size_t body_len;
   bool is_control;
+  bool is_head;
+  bool uses_tunnel;
+  bool proves_end; /* the end of its connection is that of the server's connection */
   Timer *time_limit;
   int64_t timeout_ms;
   int64_t stall_timeout_ms;
--- a/src/http/connection_table.c
+++ b/src/http/connection_table.c
@@ -12,6 +12,7 @@
   GHashTable *fds;     /* by the hash of the ends */
   GHashTable *ends;    /* the hash of the ends, by fd */
   GHashTable *doubted; /* fds */
+  GHashTable *proved;  /* fds */
 };
 
 static int
@@ -20,6 +21,7 @@
   g_hash_table_unref (t->fds);
   g_hash_table_unref (t->ends);
   g_hash_table_unref (t->doubted);
+  g_hash_table_unref (t->proved);
   return 0;
 }
 
@@ -31,6 +33,7 @@
   t->fds = g_hash_table_new (g_direct_hash, g_direct_equal);
   t->ends = g_hash_table_new (g_direct_hash, g_direct_equal);
   t->doubted = g_hash_table_new (g_direct_hash, g_direct_equal);
+  t->proved = g_hash_table_new (g_direct_hash, g_direct_equal);
   talloc_set_destructor (t, table_destroy);
   return t;
 }
@@ -62,6 +65,7 @@
     return;
   g_hash_table_remove (t->ends, GINT_TO_POINTER (fd));
   g_hash_table_remove (t->doubted, GINT_TO_POINTER (fd));
+  g_hash_table_remove (t->proved, GINT_TO_POINTER (fd));
   if (GPOINTER_TO_INT (g_hash_table_lookup (t->fds, hash)) == fd)
     g_hash_table_remove (t->fds, hash);
 }
@@ -98,3 +102,15 @@
 {
   return g_hash_table_contains (t->doubted, GINT_TO_POINTER (fd));
 }
+
+void
+connection_table_set_end_proved (ConnectionTable *t, int fd)
+{
+  g_hash_table_add (t->proved, GINT_TO_POINTER (fd));
+}
+
+bool
+connection_table_is_end_proved (const ConnectionTable *t, int fd)
+{
+  return g_hash_table_contains (t->proved, GINT_TO_POINTER (fd));
+}
--- a/src/http/connection_table.h
+++ b/src/http/connection_table.h
@@ -33,5 +33,10 @@
 
 bool connection_table_is_doubted (const ConnectionTable *table, int fd);
 
+/** The end of this connection, which is a tunnel, is that of the server's. */
+void connection_table_set_end_proved (ConnectionTable *table, int fd);
+
+bool connection_table_is_end_proved (const ConnectionTable *table, int fd);
+
 /** @return the socket, or -1 if it is unknown. */
 int connection_table_find (const ConnectionTable *table, const ConnectionEnds *ends);
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -1,6 +1,7 @@
 #include "http/client_impl.h"
 
 #include <string.h>
+#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -31,11 +32,55 @@
   return (size_t)uploaded < x->body_len ? HTTP_FAILED_SENDING : HTTP_FAILED_NO_RESPONSE;
 }
 
+/* --- End of the response ----------------------------------------------------------------- */
+
+static const char *
+find_header (HttpExchange *x, const char *name, unsigned origin)
+{
+  struct curl_header *header;
+
+  if (curl_easy_header (x->easy, name, 0, origin, -1, &header) != CURLHE_OK)
+    return NULL;
+  return header->value;
+}
+
+static bool
+is_chunked (HttpExchange *x)
+{
+  const char *codings = find_header (x, "Transfer-Encoding", CURLH_HEADER);
+  const char *last = codings ? strrchr (codings, ',') : NULL;
+
+  last = last ? last + 1 : codings;
+  if (last)
+    last += strspn (last, " \t");
+  return last && !strncasecmp (last, "chunked", 7);
+}
+
+/* libcurl goes on without a length if it can't use the stated one. */
+static bool
+has_length (HttpExchange *x)
+{
+  curl_off_t length = -1;
+
+  curl_easy_getinfo (x->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+  return length >= 0;
+}
+
+bool
+http_exchange_has_framed_end (HttpExchange *x)
+{
+  int status = http_exchange_status (x);
+
+  return x->is_head || status == 204 || status == 304 || is_chunked (x) || has_length (x);
+}
+
 static HttpResult
 result_of (HttpExchange *x, CURLcode code)
 {
+  bool is_complete = code == CURLE_OK && !x->aborted;
+
   /* libcurl takes a connection that is closed in the middle of a head for the end of a response without a body. */
-  if (code == CURLE_OK && !x->aborted && x->head_complete)
+  if (is_complete && x->head_complete && (x->proves_end || http_exchange_has_framed_end (x)))
     return HTTP_COMPLETE;
   return failure_of (x, code == CURLE_OPERATION_TIMEDOUT);
 }
@@ -223,16 +268,31 @@
     x->head_complete = http_exchange_status (x) >= 200;
 }
 
+/* A line of the proxy's answer, which comes before the request is started. */
+static void
+note_tunnel_line (HttpExchange *x, const char *line, size_t len)
+{
+  static const char PROVED[] = TUNNEL_END_HEADER ": " TUNNEL_END_PROVED "\r\n";
+
+  if (len == sizeof PROVED - 1 && !memcmp (line, PROVED, len))
+    x->proves_end = true;
+}
+
 static size_t
 on_header (char *bytes, size_t size, size_t n, void *data)
 {
   HttpExchange *x = data;
 
-  note_head_line (x, bytes, size * n);
-  count_received (x, size * n);
-  note_received (x);
   x->head_bytes += size * n;
   x->head_lines++;
+  if (x->request_started)
+    {
+      note_head_line (x, bytes, size * n);
+      count_received (x, size * n);
+      note_received (x);
+    }
+  else
+    note_tunnel_line (x, bytes, size * n);
   return x->head_bytes <= MAX_HEAD_BYTES && x->head_lines <= MAX_HEAD_LINES ? size * n : 0;
 }
 
@@ -273,6 +333,17 @@
   return !is_stale (fd) && !connection_table_is_doubted (connections, fd);
 }
 
+/* To be called on the connection that the exchange is to use. */
+static bool
+connection_proves_end (HttpExchange *x, int fd)
+{
+  if (!x->uses_tunnel)
+    return true;
+  if (x->proves_end)
+    connection_table_set_end_proved (x->client->connections, fd);
+  return connection_table_is_end_proved (x->client->connections, fd);
+}
+
 /* libcurl retries a request by itself if a reused connection turns out to be closed. Whether a retry is
  * allowed is decided by the user of the exchange, so libcurl's own retry is aborted here. */
 static int
@@ -282,15 +353,19 @@
   ConnectionTable *connections = x->client->connections;
   ConnectionEnds ends = { remote_ip, remote_port, local_port };
 
+  int fd;
+
   (void)local_ip;
   if (x->request_started)
     return CURL_PREREQFUNC_ABORT;
   if (http_exchange_opened_connection (x))
     connection_table_add (connections, &ends, x->opened_fd);
-  else
-    x->stale_connection = !is_usable (connections, connection_table_find (connections, &ends));
+  fd = connection_table_find (connections, &ends);
+  if (!http_exchange_opened_connection (x))
+    x->stale_connection = !is_usable (connections, fd);
   if (x->stale_connection)
     return CURL_PREREQFUNC_ABORT;
+  x->proves_end = connection_proves_end (x, fd);
   x->request_started = true;
   x->last_step_ms = timers_now_ms (loop_timers (x->client->loop));
   return CURL_PREREQFUNC_OK;
@@ -315,7 +390,6 @@
   curl_easy_setopt (e, CURLOPT_PROXY, proxy);
   curl_easy_setopt (e, CURLOPT_PROXYTYPE, (long)CURLPROXY_HTTP);
   curl_easy_setopt (e, CURLOPT_HTTPPROXYTUNNEL, 1L);
-  curl_easy_setopt (e, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
 }
 
 static void
@@ -329,7 +403,7 @@
   curl_easy_setopt (e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
   /* libcurl would otherwise resolve dot segments, after the request's route was chosen by its path. */
   curl_easy_setopt (e, CURLOPT_PATH_AS_IS, 1L);
-  if (!strcmp (request->method, "HEAD"))
+  if (x->is_head)
     curl_easy_setopt (e, CURLOPT_NOBODY, 1L);
   if (request->receive_buffer_bytes)
     curl_easy_setopt (e, CURLOPT_BUFFERSIZE, (long)request->receive_buffer_bytes);
@@ -374,6 +448,8 @@
     return NULL;
   x->client = client;
   x->is_control = request->is_control;
+  x->is_head = !strcmp (request->method, "HEAD");
+  x->uses_tunnel = request->tunnel_over != NULL;
   x->events = events;
   x->data = data;
   talloc_set_destructor (x, exchange_destroy);
@@ -417,16 +493,6 @@
   client_schedule_reap (x->client);
 }
 
-static const char *
-find_header (HttpExchange *x, const char *name, unsigned origin)
-{
-  struct curl_header *header;
-
-  if (curl_easy_header (x->easy, name, 0, origin, -1, &header) != CURLHE_OK)
-    return NULL;
-  return header->value;
-}
-
 const char *
 http_exchange_header (HttpExchange *x, const char *name)
 {
--- a/src/tunnel/tunnel.c
+++ b/src/tunnel/tunnel.c
@@ -93,14 +93,30 @@
   return 0;
 }
 
+/* @param resets whether the connection is reset when it is closed, by whomever: also by the kernel, if this process is
+ * killed. */
+static void
+set_reset_on_close (const Side *s, bool resets)
+{
+  struct linger linger = { .l_onoff = resets };
+
+  if (s->fd >= 0 && setsockopt (s->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger) < 0)
+    log_event (LOG_LEVEL_WARNING, "tunnel", "linger_not_set", "errno=%d", errno);
+}
+
 /* A connection that was reset must not look as if it had ended: a response may have no other end. */
 static void
 reset (Tunnel *t, Side *s)
 {
-  struct linger linger = { .l_onoff = 1 };
+  set_reset_on_close (s, true);
+  talloc_free (t);
+}
 
-  if (s->fd >= 0)
-    setsockopt (s->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+/* The server has closed its connection, and the other host has been sent all that came before. */
+static void
+end_in_order (Tunnel *t)
+{
+  set_reset_on_close (&t->host, false);
   talloc_free (t);
 }
 
@@ -108,8 +124,9 @@
 respond (Tunnel *t, int status)
 {
   char text[64];
-  int n = snprintf (text, sizeof text, "HTTP/1.1 %d %s\r\n\r\n", status,
-                    status == 200 ? "OK" : "No Tunnel");
+  int n
+      = snprintf (text, sizeof text, "HTTP/1.1 %d %s\r\n\r\n", status,
+                  status == 200 ? "OK\r\n" TUNNEL_END_HEADER ": " TUNNEL_END_PROVED : "No Tunnel");
 
   if (send (t->host.fd, text, (size_t)n, MSG_NOSIGNAL) != n)
     log_event (LOG_LEVEL_INFO, "tunnel", "not_answered", "address=%s status=%d", t->address,
@@ -197,11 +214,11 @@
   return send_on (t, from, to);
 }
 
-/* The other host that closes doesn't want the response any more; the server's end follows its last bytes. */
+/* The server's end follows its last bytes. */
 static bool
-has_ended (const Tunnel *t)
+has_ended_in_order (const Tunnel *t)
 {
-  return t->host.ended || (t->server.ended && buffered (&t->server.received) == 0);
+  return !t->host.ended && t->server.ended && buffered (&t->server.received) == 0;
 }
 
 static void
@@ -217,8 +234,11 @@
     return;
   if ((flags & TEVENT_FD_READ) && buffered (&s->received) == 0 && !receive (t, s, other))
     return;
-  if (has_ended (t))
+  /* The other host that closes doesn't want the response any more. */
+  if (t->host.ended)
     talloc_free (t);
+  else if (has_ended_in_order (t))
+    end_in_order (t);
   else
     update_events (t);
 }
@@ -257,6 +277,7 @@
   TALLOC_FREE (t->limit);
   t->limit = timers_start (loop_timers (t->options.loop), t, IDLE_LIMIT_MS, on_idle_timer, t);
   log_event (LOG_LEVEL_INFO, "tunnel", "opened", "address=%s", t->address);
+  set_reset_on_close (&t->host, true);
   respond (t, 200);
   watch (&t->host, TEVENT_FD_READ, on_ready);
   watch (&t->server, TEVENT_FD_READ, on_ready);
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -1,6 +1,7 @@
 /** @file
  * One tunnel: a connection of another host, which names a backend server in a CONNECT request, joined to a connection to that
- * server. Bytes are passed on unchanged in both directions. Control loop only. */
+ * server. Bytes are passed on unchanged in both directions. The other host reads the end of its connection only after the server
+ * has closed the other one in order; everything else, the end of this process included, resets it. Control loop only. */
 #pragma once
 
 #include <stdbool.h>
@@ -8,6 +9,7 @@
 
 #include "core/list.h"
 #include "core/loop.h"
+#include "http/client.h"
 
 typedef struct Tunnel Tunnel;
 
--- a/tests/unit/test_tunnel.c
+++ b/tests/unit/test_tunnel.c
@@ -2,10 +2,12 @@
  * client that asks and the server that opens the tunnels in one loop. */
 #include <netinet/in.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <talloc.h>
@@ -207,20 +209,27 @@
 }
 
 static char *
-odd_server_start (const void *ctx, OddServer *s, bool resets)
+server_start (const void *ctx, OddServer *s, void *(*fn) (void *))
 {
   struct sockaddr_in at = { .sin_family = AF_INET };
   socklen_t len = sizeof at;
 
-  *s = (OddServer){ .listener = socket (AF_INET, SOCK_STREAM, 0), .resets = resets };
+  s->listener = socket (AF_INET, SOCK_STREAM, 0);
   at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   CU_ASSERT_EQUAL (bind (s->listener, (struct sockaddr *)&at, sizeof at), 0);
   CU_ASSERT_EQUAL (listen (s->listener, 4), 0);
   getsockname (s->listener, (struct sockaddr *)&at, &len);
-  CU_ASSERT_EQUAL (pthread_create (&s->thread, NULL, serve, s), 0);
+  CU_ASSERT_EQUAL (pthread_create (&s->thread, NULL, fn, s), 0);
   return talloc_asprintf (ctx, "127.0.0.1:%u", ntohs (at.sin_port));
 }
 
+static char *
+odd_server_start (const void *ctx, OddServer *s, bool resets)
+{
+  *s = (OddServer){ .resets = resets };
+  return server_start (ctx, s, serve);
+}
+
 static void
 odd_server_stop (OddServer *s)
 {
@@ -242,6 +251,140 @@
   odd_server_stop (&server);
 }
 
+/* Opens the tunnels in a process of its own, which the test kills. */
+typedef struct
+{
+  pid_t pid;
+  int port;
+} HelperProcess;
+
+static void
+run_helper (int port_fd)
+{
+  Fixture f;
+  int port;
+
+  fixture_start (&f);
+  f.help = TUNNEL_CONNECTS;
+  port = tunnel_server_port (f.tunnels);
+  if (write (port_fd, &port, sizeof port) != sizeof port)
+    _exit (1);
+  for (;;)
+    tevent_loop_once (loop_tevent (f.loop));
+}
+
+static HelperProcess
+helper_process_start (void)
+{
+  HelperProcess h = { 0 };
+  int fds[2];
+
+  CU_ASSERT_EQUAL_FATAL (pipe (fds), 0);
+  h.pid = fork ();
+  if (h.pid == 0)
+    run_helper (fds[1]);
+  CU_ASSERT_EQUAL (read (fds[0], &h.port, sizeof h.port), sizeof h.port);
+  close (fds[0]);
+  close (fds[1]);
+  return h;
+}
+
+/* Guards against an answer without a length that looks complete because the host on its way has ended: its process is
+ * killed, or closes the tunnel as it stops. */
+static void
+end_of_the_helper_is_no_end_of_an_answer (void)
+{
+  for (int is_killed = 0; is_killed < 2; is_killed++)
+    {
+      HelperProcess helper = { 0 };
+      Fixture f;
+      OddServer server;
+      HttpExchange *x;
+
+      if (is_killed)
+        helper = helper_process_start ();
+      fixture_start (&f);
+      if (is_killed)
+        f.helper = talloc_asprintf (f.loop, "127.0.0.1:%d", helper.port);
+      x = start (&f, odd_server_start (f.loop, &server, false));
+      while (f.n_body == 0)
+        tevent_loop_once (loop_tevent (f.loop));
+      if (is_killed)
+        kill (helper.pid, SIGKILL);
+      else
+        TALLOC_FREE (f.tunnels);
+      while (!f.done)
+        tevent_loop_once (loop_tevent (f.loop));
+      CU_ASSERT_EQUAL (f.result, HTTP_FAILED_PARTIAL);
+      talloc_free (x);
+      odd_server_stop (&server);
+      if (is_killed)
+        waitpid (helper.pid, NULL, 0);
+      fixture_stop (&f);
+    }
+}
+
+/* On one connection: an answer with a length, then one without, which ends with the connection. */
+static void *
+serve_both_framings (void *data)
+{
+  static const char SECOND[] = "HTTP/1.1 200 OK\r\n\r\nwhole";
+  OddServer *s = data;
+  int fd = accept (s->listener, NULL, NULL);
+  char bytes[4096];
+
+  if (recv (fd, bytes, sizeof bytes, 0) <= 0
+      || send (fd, RESPONSE, sizeof RESPONSE - 1, MSG_NOSIGNAL) < 0
+      || recv (fd, bytes, sizeof bytes, 0) <= 0
+      || send (fd, SECOND, sizeof SECOND - 1, MSG_NOSIGNAL) < 0)
+    CU_FAIL ("no second request");
+  close (fd);
+  return NULL;
+}
+
+/* Guards against a whole answer that is broken off because it has no length and came over another host, also on a tunnel
+ * that is used again. */
+static void
+end_of_the_server_comes_through (void)
+{
+  Fixture f;
+  OddServer server;
+  char *address;
+
+  fixture_start (&f);
+  address = server_start (f.loop, &server, serve_both_framings);
+  request (&f, address);
+  CU_ASSERT_EQUAL (f.result, HTTP_COMPLETE);
+  request (&f, address);
+  CU_ASSERT_EQUAL (f.result, HTTP_COMPLETE);
+  CU_ASSERT_EQUAL (f.n_body, 5);
+  fixture_stop (&f);
+  odd_server_stop (&server);
+}
+
+/* Guards against hosts of an older version, which do not reset the tunnel when they are killed: while a fleet is replaced,
+ * the end of their tunnels proves nothing. */
+static void
+end_is_not_proved_by_a_helper_that_does_not_say_so (void)
+{
+  static const char *const ANSWERS[]
+      = { "HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\nhello",
+          "HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello" };
+
+  for (int framed = 0; framed < 2; framed++)
+    {
+      Fixture f;
+      CannedServer helper;
+
+      fixture_start (&f);
+      f.helper = canned_server_start (f.loop, &helper, ANSWERS[framed]);
+      request (&f, "127.0.0.1:9");
+      CU_ASSERT_EQUAL (f.result, framed ? HTTP_COMPLETE : HTTP_FAILED_PARTIAL);
+      fixture_stop (&f);
+      canned_server_stop (&helper);
+    }
+}
+
 /* Guards against a server that works on for a client that has left. */
 static void
 client_that_leaves_stops_the_server (void)
@@ -308,6 +451,10 @@
     { "response_comes_whole_over_another_host", response_comes_whole_over_another_host },
     { "refused_tunnel_is_a_failed_connect", refused_tunnel_is_a_failed_connect },
     { "reset_of_the_server_comes_through", reset_of_the_server_comes_through },
+    { "end_of_the_helper_is_no_end_of_an_answer", end_of_the_helper_is_no_end_of_an_answer },
+    { "end_of_the_server_comes_through", end_of_the_server_comes_through },
+    { "end_is_not_proved_by_a_helper_that_does_not_say_so",
+      end_is_not_proved_by_a_helper_that_does_not_say_so },
     { "client_that_leaves_stops_the_server", client_that_leaves_stops_the_server },
     { "host_that_stops_keeps_tunnels_with_open_requests",
       host_that_stops_keeps_tunnels_with_open_requests },
