relay: the end of a connection is no proof of a whole answer

Cause: the relay took the end of the connection for the end of the answer, and the kernel closes a killed process's connections in order.

An answer, or a connection that stays open, proves it; a refused connection or another server breaks the answer off or resumes it. Policy in relay_end.c, without sockets.

test_quarantine said "unframed" by a missing header of its fake; the fake now says so itself, and the case covers what each finding clears (four instead of two), the other two their bounds as before.

--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -58,6 +58,8 @@
   const char *(*interim_header) (BackendCall *call, const char *name);
   void (*each_header) (BackendCall *call, BackendHeaderFn fn, void *data);
   bool (*is_first_exchange) (BackendCall *call);
+  bool (*has_framed_end) (BackendCall *call);
+  bool (*is_direct) (BackendCall *call);
 } BackendOps;
 
 struct Backend
@@ -122,3 +124,18 @@
 {
   return call->backend->ops->is_first_exchange (call);
 }
+
+/** @return whether the response has an end of its own, a length or chunks, or can have no body. Otherwise it ends with its
+ * connection, also if the process of its server has ended in the middle. To be called from headers on. */
+static inline bool
+backend_has_framed_end (BackendCall *call)
+{
+  return call->backend->ops->has_framed_end (call);
+}
+
+/** @return whether the call's connection goes to the server itself, not over another host. */
+static inline bool
+backend_is_direct (BackendCall *call)
+{
+  return call->backend->ops->is_direct (call);
+}
--- a/src/backend/backend_http.c
+++ b/src/backend/backend_http.c
@@ -220,8 +220,21 @@
   return http_exchange_opened_connection (((BackendHttpCall *)call)->exchange);
 }
 
+static bool
+has_framed_end (BackendCall *call)
+{
+  return http_exchange_has_framed_end (((BackendHttpCall *)call)->exchange);
+}
+
+static bool
+is_direct (BackendCall *call)
+{
+  return ((BackendHttpCall *)call)->route.helper[0] == '\0';
+}
+
 static const BackendOps OPS
-    = { start, cancel, resume, header, interim_header, each_header, is_first_exchange };
+    = { start,          cancel,   resume, header, interim_header, each_header, is_first_exchange,
+        has_framed_end, is_direct };
 
 Backend *
 backend_http_new (const void *ctx, const BackendHttpOptions *options)
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -53,6 +53,9 @@
   /** Decodes the head of a server's response. */
   void (*decode_response_head) (Dialect *dialect, const RelayRequest *request, BackendCall *call,
                                 RelayResponseHead *head);
+  /** @return the id of the server that wrote the response, as in RelaySendParams, or NULL if it doesn't say; valid as long as
+   * the call. May be NULL if no service has a health path. */
+  const char *(*decode_server_id) (Dialect *dialect, BackendCall *call);
   /** Decodes one event of a stream. @return false if it is malformed. May be NULL: each event then
    * counts as RelayRequest.event_tokens. */
   bool (*decode_event) (Dialect *dialect, const RelayRequest *request, const char *event,
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -140,6 +140,13 @@
 
 /* --- End --------------------------------------------------------------------------------- */
 
+void
+relay_count_run (Relay *r, Attempt *a)
+{
+  r->runs += !a->run_counted;
+  a->run_counted = true;
+}
+
 /* The attempt itself is freed with the relay, since a late backend event may still refer to it. */
 void
 relay_end_attempt (Relay *r, AssignmentResult result)
@@ -149,13 +156,14 @@
   if (!a)
     return;
   r->attempt = NULL;
+  TALLOC_FREE (a->end_check);
   if (a->call)
     {
       FailurePoint point = backend_cancel (a->call);
 
       a->call = NULL;
       if (!failure_proves_not_run (point))
-        r->runs++;
+        relay_count_run (r, a);
       else if (result == ASSIGNMENT_FAILED)
         result = ASSIGNMENT_UNREACHABLE;
     }
@@ -207,7 +215,7 @@
   r->arrivals += !a->no_connection;
   relay_end_attempt (r, assignment_result (a, point));
   if (!failure_proves_not_run (point))
-    r->runs++;
+    relay_count_run (r, a);
   input.runs = r->runs;
   retry_error = retry_policy_check (&input);
   log_retry (r, a, kind, retry_error);
@@ -410,6 +418,21 @@
   return a->sse.partial_len == 0 && (a->end_seen || !r->deps->dialect->ops->has_end_event);
 }
 
+void
+relay_finish_complete (Relay *r, Attempt *a)
+{
+  if (a->streaming)
+    relay_finish_stream (r);
+  else
+    relay_finish_buffered (r, a);
+}
+
+void
+relay_fail_unproved (Relay *r, Attempt *a)
+{
+  fail_cut_attempt (r, a, FAIL_RESPONSE_TRUNCATED);
+}
+
 static void
 on_end (void *data)
 {
@@ -423,13 +446,13 @@
     on_failed (a, FAIL_RESPONSE_TRUNCATED, false);
   else if (a->streaming && !stream_is_complete (r, a))
     fail_cut_attempt (r, a, FAIL_RESPONSE_TRUNCATED);
-  else if (a->streaming)
-    relay_finish_stream (r);
   /* The client has a part of a stream: only more of its events may follow, or a break. */
-  else if (r->response_started || may_retry_response (r, a))
+  else if (!a->streaming && (r->response_started || may_retry_response (r, a)))
     fail_attempt (r, a, FAIL_NO_RESPONSE, ERR_SERVER_FAILED);
+  else if (relay_has_provable_end (a))
+    relay_finish_complete (r, a);
   else
-    relay_finish_buffered (r, a);
+    relay_check_end (r, a);
 }
 
 const BackendEvents relay_backend_events = { on_headers, on_body, on_end, on_failed };
--- a/src/relay/relay_counters.c
+++ b/src/relay/relay_counters.c
@@ -16,6 +16,12 @@
   counters.refusals_doubted
       = counter_get ("pond_refusals_doubted_total", "",
                      "Refusals of servers that may belong to an earlier request.");
+  counters.ends_confirmed
+      = counter_get ("pond_ends_checked_total", "whole=\"yes\"",
+                     "Responses without a length that ended with their connection, by finding.");
+  counters.ends_unproved
+      = counter_get ("pond_ends_checked_total", "whole=\"no\"",
+                     "Responses without a length that ended with their connection, by finding.");
   counters.stream_pauses
       = counter_get ("pond_stream_pauses_total", "", "Streams held back for a slow reader.");
   counters.tokens_delivered
--- a/src/relay/relay_counters.h
+++ b/src/relay/relay_counters.h
@@ -11,7 +11,9 @@
   Counter *open_requests;
   Counter *late_events;      /* backend events of attempts that had ended already */
   Counter *refusals_doubted; /* "not run" that may belong to an earlier request */
-  Counter *stream_pauses;    /* times that a stream waited for a slow client */
+  Counter *ends_confirmed; /* responses that ended with their connection, whose server still ran */
+  Counter *ends_unproved;
+  Counter *stream_pauses; /* times that a stream waited for a slow client */
   Counter *tokens_delivered;
   Counter *usage_rejected;
   Histogram *duration;
--- a/src/relay/relay_cut.c
+++ b/src/relay/relay_cut.c
@@ -80,14 +80,6 @@
                         timers_now_ms (r->deps->timers));
 }
 
-/* Without a length and without chunks a response ends with its connection, also if its server has ended. */
-bool
-relay_has_provable_end (const Attempt *a)
-{
-  return a->end_seen || backend_header (a->call, "Content-Length")
-         || backend_header (a->call, "Transfer-Encoding");
-}
-
 static QuarantineCut
 make_cut (const Relay *r, const Attempt *a, const AssignmentServer *server)
 {
--- a/src/relay/relay_finish.c
+++ b/src/relay/relay_finish.c
@@ -227,21 +227,29 @@
   finish (r);
 }
 
+/* The exchange may have ended before. */
+static const RelayHeader *
+headers_of_attempt (Relay *r, Attempt *a)
+{
+  if (!a->headers)
+    a->headers = relay_headers_to_forward (a, r, a->call, &a->n_headers);
+  return a->headers;
+}
+
 void
 relay_finish_buffered (Relay *r, Attempt *a)
 {
-  size_t n;
-  RelayHeader *headers = relay_headers_to_forward (a, r, a->call, &n);
+  const RelayHeader *headers = headers_of_attempt (r, a);
 
   relay_report_complete (r, a);
   a->call = NULL;
-  r->runs++;
+  relay_count_run (r, a);
   r->status = a->head.status;
   r->reason = ERR_NONE;
   r->usage = a->body_usage;
   if (r->client)
-    r->client->respond (r->client_data, a->head.status, headers, n, a->body ? a->body : "",
-                        a->body_len);
+    r->client->respond (r->client_data, a->head.status, headers, a->n_headers,
+                        a->body ? a->body : "", a->body_len);
   relay_end_attempt (r, a->head.status >= 500 ? ASSIGNMENT_FAILED : ASSIGNMENT_COMPLETED);
   finish (r);
 }
@@ -250,18 +258,17 @@
 relay_finish_stream (Relay *r)
 {
   Attempt *a = r->attempt;
-  size_t n;
-  RelayHeader *headers;
+  const RelayHeader *headers;
 
   if (!r->response_started)
     {
-      headers = relay_headers_to_forward (a, r, a->call, &n);
+      headers = headers_of_attempt (r, a);
       r->status = a->head.status;
-      r->client->begin (r->client_data, a->head.status, headers, n);
+      r->client->begin (r->client_data, a->head.status, headers, a->n_headers);
     }
   relay_report_complete (r, a);
   a->call = NULL;
-  r->runs++;
+  relay_count_run (r, a);
   relay_end_attempt (r, ASSIGNMENT_COMPLETED);
   r->reason = ERR_NONE;
   r->client->end (r->client_data);
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -1,5 +1,5 @@
 /* Internals of the relay: relay.c (budget, deadline, client), relay_attempt.c (server selection, backend
- * events, retries), relay_refusal.c (refusals of servers), relay_stream.c (stream events), relay_version.c (which version a stream is bound to), relay_resume.c (streams that are taken up), relay_cut.c (exchanges that were cut off), relay_finish.c (final response, settlement, log). */
+ * events, retries), relay_refusal.c (refusals of servers), relay_stream.c (stream events), relay_version.c (which version a stream is bound to), relay_resume.c (streams that are taken up), relay_cut.c (exchanges that were cut off), relay_end.c (responses that end with their connection), relay_finish.c (final response, settlement, log). */
 #pragma once
 
 #include "relay/charge.h"
@@ -38,11 +38,19 @@
   RESPONSE_MISDIRECTED /* another server has this address now */
 } ResponseCheck;
 
+/* The question whether a response is whole; relay_end.c. */
+typedef struct EndCheck EndCheck;
+
 typedef struct
 {
   Relay *relay;
-  int number;        /* 1 for the first attempt of the request */
-  BackendCall *call; /* NULL once the exchange has ended */
+  int number;           /* 1 for the first attempt of the request */
+  BackendCall *call;    /* NULL once the exchange has ended */
+  bool run_counted;     /* in Relay.runs */
+  EndCheck *end_check;  /* NULL: none is under way */
+  bool end_proved;      /* the server was found running after the end of the response */
+  RelayHeader *headers; /* to forward, once the exchange has ended; NULL before */
+  size_t n_headers;
   Assignment *assignment;
   int64_t started_ms;
   RelayResponseHead head;
@@ -117,6 +125,20 @@
 void relay_start_attempt (Relay *r);
 void relay_end_attempt (Relay *r, AssignmentResult result);
 
+/* The attempt has been run by its server, or may have been. */
+void relay_count_run (Relay *r, Attempt *a);
+/* The response is complete. */
+void relay_finish_complete (Relay *r, Attempt *a);
+/* The response has ended, and nothing shows that it is whole. */
+void relay_fail_unproved (Relay *r, Attempt *a);
+
+/* relay_end.c */
+/* @return whether the response shows by itself that it is complete, rather than by the end of its connection, or its server was
+ * found running after it. */
+bool relay_has_provable_end (const Attempt *a);
+/* To be called at the end of a response without a provable end: asks its server, and finishes or fails the attempt. */
+void relay_check_end (Relay *r, Attempt *a);
+
 /* relay_version.c */
 /* From now on only servers of this version may be asked. To be called before the first attempt if the client takes up a
  * stream that @p version began. @param version as in AssignmentServer. */
@@ -152,8 +174,6 @@
 bool relay_check_quarantine (Relay *r, bool is_sent, Err *err);
 /* Has reached no server. */
 void relay_return_trial (Relay *r);
-/* @return whether the response shows by itself that it is complete, rather than by the end of its connection. */
-bool relay_has_provable_end (const Attempt *a);
 /* The answer has come so far that its server will not end under the request. */
 void relay_report_sound (const Relay *r, Attempt *a);
 /* An exchange has ended with a complete response. */
--- a/tests/fakes/fake_backend.c
+++ b/tests/fakes/fake_backend.c
@@ -17,6 +17,7 @@
   c->call.backend = backend;
   c->open = true;
   c->address = talloc_strdup (c, request->address);
+  c->target = talloc_strdup (c, request->target);
   c->headers = talloc_strdup (c, "");
   for (size_t i = 0; i < request->n_headers; i++)
     c->headers = talloc_asprintf_append (c->headers, "%s\n", request->headers[i]);
@@ -81,8 +82,21 @@
   return !((FakeBackendCall *)call)->reused;
 }
 
+static bool
+has_framed_end (BackendCall *call)
+{
+  return !((FakeBackendCall *)call)->unframed;
+}
+
+static bool
+is_direct (BackendCall *call)
+{
+  return !((FakeBackendCall *)call)->indirect;
+}
+
 static const BackendOps OPS
-    = { start, cancel, resume, header, interim_header, each_header, is_first_exchange };
+    = { start,          cancel,   resume, header, interim_header, each_header, is_first_exchange,
+        has_framed_end, is_direct };
 
 FakeBackend *
 fake_backend_new (const void *ctx)
@@ -103,12 +117,18 @@
 }
 
 void
-fake_backend_time_out_connecting (FakeBackendCall *c)
+fake_backend_time_out (FakeBackendCall *c, FailurePoint point)
 {
   if (!c->open)
     return;
   c->open = false;
-  c->events->failed (c->data, FAIL_CONNECT, true);
+  c->events->failed (c->data, point, true);
+}
+
+void
+fake_backend_time_out_connecting (FakeBackendCall *c)
+{
+  fake_backend_time_out (c, FAIL_CONNECT);
 }
 
 void
--- a/tests/fakes/fake_backend.h
+++ b/tests/fakes/fake_backend.h
@@ -14,7 +14,10 @@
   bool cancelled; /* by backend_cancel() */
   bool paused;    /* the last bytes were not accepted */
   bool reused;    /* set by the test: the connection has had an exchange before */
+  bool unframed;  /* set by the test: the response has neither a length nor chunks */
+  bool indirect;  /* set by the test: the connection goes over another host */
   char *address;
+  char *target;
   char *headers; /* of the request, each ended by a newline */
   char *body;
   FailurePoint failure_point;          /* returned by backend_cancel() */
@@ -47,5 +50,8 @@
 /** Ends the call with a failure at @p point of the exchange. */
 void fake_backend_fail (FakeBackendCall *call, FailurePoint point);
 
+/** Ends the call because its time is over at @p point of the exchange. */
+void fake_backend_time_out (FakeBackendCall *call, FailurePoint point);
+
 /** Ends the call because nothing has answered the attempt to connect. */
 void fake_backend_time_out_connecting (FakeBackendCall *call);
--- a/tests/unit/crash_fleet.c
+++ b/tests/unit/crash_fleet.c
@@ -335,8 +335,17 @@
   return true;
 }
 
+/* Of all calls: has_framed_end and is_direct. */
+static bool
+is_always (BackendCall *call)
+{
+  (void)call;
+  return true;
+}
+
 static const BackendOps BACKEND_OPS
-    = { start, cancel, resume, header, interim_header, each_header, is_first_exchange };
+    = { start,     cancel,   resume, header, interim_header, each_header, is_first_exchange,
+        is_always, is_always };
 
 /* --- Set-up ------------------------------------------------------------------------------ */
 
--- a/tests/unit/relay_fixture.c
+++ b/tests/unit/relay_fixture.c
@@ -115,7 +115,7 @@
 {
   RelayFixture *f = talloc_zero (NULL, RelayFixture);
   CatalogBuilder *b = catalog_builder_new (NULL, 1);
-  CatalogService service = { .name = "service", .connection_limit = 100 };
+  CatalogService service = { .name = "service", .health_path = "/health", .connection_limit = 100 };
   static const ListedHost HOST = { "host", "d", "d" };
   DispatchOptions dispatch = { .host = HOST.name,
                                .data_centre = "d",
--- a/tests/unit/stream_fleet.c
+++ b/tests/unit/stream_fleet.c
@@ -429,8 +429,17 @@
   return true;
 }
 
+/* Of all calls: has_framed_end and is_direct. */
+static bool
+is_always (BackendCall *call)
+{
+  (void)call;
+  return true;
+}
+
 static const BackendOps BACKEND_OPS
-    = { start, cancel, resume, header, interim_header, each_header, is_first_exchange };
+    = { start,     cancel,   resume, header, interim_header, each_header, is_first_exchange,
+        is_always, is_always };
 
 void
 stream_fleet_add_servers (StreamFleet *f, const char *version, int n)
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -469,30 +469,44 @@
   relay_fixture_free (f);
 }
 
-static const char *const UNFRAMED[] = { "X-Request-Id", "r-1", "X-Response-Seal", "s", NULL };
+static const char *const NO_HEADERS[] = { NULL };
 
-/* Guards against a crash that looks like a whole answer and clears the part that caused it. */
 static void
-only_an_answer_with_a_provable_end_clears_a_part (void)
+send_unframed_head (RelayFixture *f)
 {
-  static const char *const FRAMED[]
-      = { "X-Request-Id", "r-1", "X-Response-Seal", "s", "Transfer-Encoding", "chunked", NULL };
+  relay_fixture_last_call (f)->unframed = true;
+  relay_fixture_send_head (f, 200);
+}
 
-  for (int framed = 0; framed < 2; framed++)
+/* Guards against a crash that looks like a whole answer and clears the part that caused it. The server, asked whether it still runs,
+ * refuses, or only holds the connection, or answers. */
+static void
+only_an_answer_with_a_provable_end_clears_a_part (void)
+{
+  for (int i = 0; i < 4; i++)
     {
       RelayFixture *f = start_with_part ();
       QuarantineRefusal refusal;
 
       end_servers (f, 0, 2);
       relay_fixture_start (f);
-      fake_backend_send_head (relay_fixture_last_call (f), 200, framed ? FRAMED : UNFRAMED);
+      if (i < 3)
+        send_unframed_head (f);
+      else
+        relay_fixture_send_head (f, 200);
       fake_backend_send_body (relay_fixture_last_call (f), "id: 1\ndata: a\n\n");
       fake_backend_end_response (relay_fixture_last_call (f));
-      CU_ASSERT (f->ended);
+      if (i == 0)
+        fake_backend_fail (relay_fixture_last_call (f), FAIL_CONNECT);
+      else if (i == 1)
+        fake_backend_time_out (relay_fixture_last_call (f), FAIL_NO_RESPONSE);
+      else if (i == 2)
+        fake_backend_send_head (relay_fixture_last_call (f), 503, NO_HEADERS);
+      CU_ASSERT_EQUAL (f->ended, i > 0);
       end_servers (f, 2, 3);
       CU_ASSERT_EQUAL (quarantine_allows (f->quarantine, &PART, 1, true,
                                           timers_now_ms (f->deps.timers), &refusal),
-                       framed);
+                       i > 1);
       relay_fixture_free (f);
     }
 }
@@ -505,7 +519,7 @@
   RelayFixture *f = start_with_part ();
 
   relay_fixture_start (f);
-  fake_backend_send_head (relay_fixture_last_call (f), 200, UNFRAMED);
+  send_unframed_head (f);
   fake_backend_end_response (relay_fixture_last_call (f));
   CU_ASSERT_FALSE (f->ended);
   CU_ASSERT_EQUAL (f->status, 502);
@@ -524,9 +538,10 @@
   relay_fixture_start (f);
   id = talloc_strdup (f, relay_fixture_last_call (f)->address);
   server = (ServerInstance){ id, id, 0 };
-  fake_backend_send_head (relay_fixture_last_call (f), 200, UNFRAMED);
+  send_unframed_head (f);
   fake_backend_send_body (relay_fixture_last_call (f), "id: 1\ndata: a\n\n");
   fake_backend_end_response (relay_fixture_last_call (f));
+  fake_backend_time_out (relay_fixture_last_call (f), FAIL_NO_RESPONSE);
   quarantine_add_end (f->quarantine, &server, QUARANTINE_END_REFUSED,
                       timers_now_ms (f->deps.timers));
   dispatch_server_removed (f->dispatch, id, true, timers_now_ms (f->deps.timers));
