quarantine: the end of a host on the way is no end of a server

What callers would see: a sound prompt part refused with 503 at all hosts after three ends of hosts over whose tunnels requests with it were answered.

Cause: cuts and refused connections of exchanges over another host were reported as those of the server; five cuts in one millisecond prove its end.

Change: the attempt knows whether its connection goes to the server. If not, a cut is kept without being told and counts only if the server's end is found otherwise, and a refusal is no end.

Before: end_of_a_helper_is_no_end_of_servers fails (the part is stopped); after: it holds, and the same cuts on direct connections still stop the part.

--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -340,7 +340,7 @@
   bool ended = false;
 
   pthread_mutex_lock (&q->lock);
-  if (cut->may_be_complete)
+  if (cut->is_unconfirmed)
     {
       add_cut (q, &notice, true, now_ms);
       collect_untold (q, instance_hash (&cut->server), &untold);
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -20,8 +20,9 @@
   const QuarantineKey *keys;
   size_t n_keys;
   int others_in_flight; /* of this host at the server */
-  /** The answer has ended with its connection and may be complete: it counts only if its server has ended. */
-  bool may_be_complete;
+  /** It may not have been the server that ended the exchange: the answer has ended with its connection and may be complete, or
+   * came over another host, which may have ended. It counts only if the server is found to have ended in another way. */
+  bool is_unconfirmed;
 } QuarantineCut;
 
 typedef enum
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -134,6 +134,7 @@
   relay_record_version (r, assignment);
   a->call = send_request (r, a);
   a->no_connection = !a->call;
+  a->indirect = a->call && !backend_is_direct (a->call);
   if (!a->call)
     fail_attempt (r, a, FAIL_BEFORE_CONNECT, ERR_CONNECT_FAILED);
 }
--- a/src/relay/relay_cut.c
+++ b/src/relay/relay_cut.c
@@ -89,6 +89,7 @@
                           .request = XXH64 (id, strlen (id), 0),
                           .keys = r->keys,
                           .n_keys = a->sound ? 0 : r->n_keys,
+                          .is_unconfirmed = a->indirect,
                           .others_in_flight = server->others_in_flight };
 }
 
@@ -98,7 +99,7 @@
   AssignmentServer server = assignment_server_state (a->assignment);
   QuarantineCut cut = make_cut (r, a, &server);
 
-  cut.may_be_complete = true;
+  cut.is_unconfirmed = true;
   if (!server.draining && cut.n_keys > 0)
     quarantine_add_cut (r->deps->quarantine, &cut, timers_now_ms (r->deps->timers));
 }
@@ -119,6 +120,9 @@
 {
   AssignmentServer server = assignment_server_state (a->assignment);
 
+  /* It was the other host that refused, or its process that has ended. */
+  if (a->indirect)
+    return;
   quarantine_add_end (r->deps->quarantine, &server.instance, QUARANTINE_END_REFUSED,
                       timers_now_ms (r->deps->timers));
 }
@@ -152,10 +156,11 @@
   format_parts (q, parts);
   log_event (LOG_LEVEL_INFO, "relay", "cut_off",
              "id=%s server=%s head=%d events=%" PRId64 " event_age_ms=%" PRId64
-             " sound=%d in_flight=%d draining=%d request=%" PRIx64 " shared_parts=%zu parts=%s",
+             " sound=%d in_flight=%d draining=%d indirect=%d request=%" PRIx64
+             " shared_parts=%zu parts=%s",
              q->id, r->server, a->head.status > 0, r->events,
              a->first_event_ms ? now - a->first_event_ms : -1, a->sound, server.others_in_flight,
-             server.draining, r->fingerprint, q->n_shared_parts, parts);
+             server.draining, a->indirect, r->fingerprint, q->n_shared_parts, parts);
   if (!server.draining)
     quarantine_add_cut (r->deps->quarantine, &cut, now);
 }
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -46,6 +46,7 @@
   Relay *relay;
   int number;           /* 1 for the first attempt of the request */
   BackendCall *call;    /* NULL once the exchange has ended */
+  bool indirect;         /* over another host */
   bool run_counted;     /* in Relay.runs */
   EndCheck *end_check;  /* NULL: none is under way */
   bool end_proved;      /* the server was found running after the end of the response */
--- a/tests/fakes/fake_backend.c
+++ b/tests/fakes/fake_backend.c
@@ -16,6 +16,7 @@
     abort ();
   c->call.backend = backend;
   c->open = true;
+  c->indirect = b->indirect;
   c->address = talloc_strdup (c, request->address);
   c->target = talloc_strdup (c, request->target);
   c->headers = talloc_strdup (c, "");
--- a/tests/fakes/fake_backend.h
+++ b/tests/fakes/fake_backend.h
@@ -5,7 +5,7 @@
 
 #include "backend/backend.h"
 
-#define FAKE_BACKEND_CALLS 8
+#define FAKE_BACKEND_CALLS 16
 
 typedef struct
 {
@@ -32,6 +32,7 @@
   Backend backend;
   FakeBackendCall *calls[FAKE_BACKEND_CALLS];
   int n_calls;
+  bool indirect; /* set by the test: of the calls that are started from now on */
 } FakeBackend;
 
 /** @return a talloc object under @p ctx. */
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -562,6 +562,48 @@
   relay_fixture_free (f);
 }
 
+/* One answer is cut off, and connections are refused, over another host. @return the server that was asked first. */
+static char *
+lose_helper (RelayFixture *f)
+{
+  char *id;
+
+  f->request.body = talloc_asprintf (f, "%d", f->backend->n_calls);
+  f->request.body_len = strlen (f->request.body);
+  relay_fixture_start (f);
+  id = talloc_strdup (f, relay_fixture_last_call (f)->address);
+  relay_fixture_send_head (f, 200);
+  fake_backend_fail (relay_fixture_last_call (f), FAIL_RESPONSE_TRUNCATED);
+  relay_fixture_start (f);
+  while (f->relay)
+    fake_backend_fail (relay_fixture_last_call (f), FAIL_CONNECT);
+  return id;
+}
+
+/* Guards against the end of a host, over which requests reach servers, that counts as the end of these servers: sound requests
+ * would be stopped after three of them. */
+static void
+end_of_a_helper_is_no_end_of_servers (void)
+{
+  for (int indirect = 0; indirect < 2; indirect++)
+    {
+      RelayFixture *f = start_with_part ();
+      QuarantineRefusal refusal;
+
+      f->backend->indirect = indirect;
+      for (int i = 0; i < 3; i++)
+        {
+          dispatch_server_removed (f->dispatch, lose_helper (f), true,
+                                   timers_now_ms (f->deps.timers));
+          relay_fixture_run (f, 1000);
+        }
+      CU_ASSERT_EQUAL (quarantine_allows (f->quarantine, &PART, 1, true,
+                                          timers_now_ms (f->deps.timers), &refusal),
+                       indirect);
+      relay_fixture_free (f);
+    }
+}
+
 int
 main (void)
 {
@@ -584,6 +626,7 @@
       only_an_answer_with_a_provable_end_clears_a_part },
     { "stream_without_length_that_ends_before_its_first_event_is_cut_off",
       stream_without_length_that_ends_before_its_first_event_is_cut_off },
+    { "end_of_a_helper_is_no_end_of_servers", end_of_a_helper_is_no_end_of_servers },
     { "end_that_looks_like_a_whole_answer_counts", end_that_looks_like_a_whole_answer_counts },
     { "request_that_comes_again_and_crashes_servers_is_stopped",
       request_that_comes_again_and_crashes_servers_is_stopped },
