relay: a stream goes on after the id of its last event or not at all

Cause: event ids of 24 characters and more were not stored, and the stream was asked for after an older id, the client's own, or from its beginning. Ruled out: a worker that ignores the header (its record shows none).

Change: event_id.c keeps ids of any length that a header can have, and says when there is no place to go on from; the stream is broken off then. Control characters in an id no longer reach a header.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -51,7 +51,7 @@
   RelaySendParams send
       = { .server = assignment_server (a->assignment),
           .time_left_ms = r->deadline_ms - a->started_ms,
-          .last_event_id = r->last_event_id[0] ? r->last_event_id : q->last_event_id };
+          .last_event_id = r->events > 0 ? event_id_text (&r->last_event_id) : q->last_event_id };
   BackendRequest request = { .address = assignment_address (a->assignment),
                              .method = q->method,
                              .target = q->target,
@@ -190,9 +190,10 @@
 {
   log_event (LOG_LEVEL_INFO, "relay", retry_error == ERR_NONE ? "retry" : "no_retry",
              "id=%s server=%s version=%s attempt=%d reason=%s rule=%s runs=%d events=%" PRId64
-             " left_ms=%" PRId64,
+             " event_id=%d left_ms=%" PRId64,
              r->request->id, r->server, r->version, a->number, err_info (kind)->name,
              err_info (retry_error)->name, r->runs, r->events,
+             event_id_text (&r->last_event_id) != NULL,
              r->deadline_ms - timers_now_ms (r->deps->timers));
 }
 
@@ -200,13 +201,14 @@
 fail_attempt (Relay *r, Attempt *a, FailurePoint point, ErrKind kind)
 {
   const RelayRequest *q = r->request;
-  RetryInput input = { .point = point,
-                       .repeatable = q->repeatable,
-                       .resumable = q->resumable,
-                       .response_started = r->response_started,
-                       .max_runs = q->max_attempts,
-                       .sends = r->sends,
-                       .time_left_ms = r->deadline_ms - timers_now_ms (r->deps->timers) };
+  RetryInput input
+      = { .point = point,
+          .repeatable = q->repeatable,
+          .resumable = q->resumable && (r->events == 0 || event_id_text (&r->last_event_id)),
+          .response_started = r->response_started,
+          .max_runs = q->max_attempts,
+          .sends = r->sends,
+          .time_left_ms = r->deadline_ms - timers_now_ms (r->deps->timers) };
   ErrKind retry_error;
   Err err = ERR_INIT;
 
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -3,13 +3,11 @@
 #pragma once
 
 #include "relay/charge.h"
+#include "relay/event_id.h"
 #include "relay/relay.h"
 #include "relay/retry_policy.h"
 #include "relay/sse.h"
 
-/* Including the terminating NUL; longer event ids are not stored. */
-#define EVENT_ID_BYTES 24
-
 /* Including the terminating NUL. Servers' ids are keys of the store, which have 200 bytes at most. */
 #define SERVER_ID_BYTES 201
 
@@ -46,7 +44,7 @@
   Relay *relay;
   int number;           /* 1 for the first attempt of the request */
   BackendCall *call;    /* NULL once the exchange has ended */
-  bool indirect;         /* over another host */
+  bool indirect;        /* over another host */
   bool run_counted;     /* in Relay.runs */
   EndCheck *end_check;  /* NULL: none is under way */
   bool end_proved;      /* the server was found running after the end of the response */
@@ -103,10 +101,10 @@
   char recorded_version[SERVER_VERSION_BYTES]; /* empty: none was recorded */
   char *sources[DISPATCH_MAX_TRIED]; /* ids of the servers of ended attempts that brought events */
   size_t n_sources;
-  char last_event_id[EVENT_ID_BYTES]; /* of the last event forwarded */
-  int64_t events;                     /* stream events forwarded */
-  Tokens delivered;                   /* output tokens that the forwarded events count as */
-  Tokens usage;                       /* reported by the server; -1 if none */
+  EventId last_event_id; /* of the last event forwarded */
+  int64_t events;        /* stream events forwarded */
+  Tokens delivered;      /* output tokens that the forwarded events count as */
+  Tokens usage;          /* reported by the server; -1 if none */
   int64_t first_event_ms;
   int64_t last_event_ms;
   int64_t max_gap_ms;
--- a/src/relay/relay_stream.c
+++ b/src/relay/relay_stream.c
@@ -1,7 +1,5 @@
 #include "relay/relay_impl.h"
 
-#include <string.h>
-
 #include <talloc.h>
 
 #include "core/counter.h"
@@ -10,37 +8,6 @@
 /* A server that ends as it begins an answer does so before this time after the first event. */
 #define SOUND_ANSWER_MS 250
 
-/* @return the value of the event's id field; NULL if it has none. */
-static const char *
-event_id (const char *event, size_t len, size_t *id_len)
-{
-  const char *at = event;
-  const char *end = event + len;
-
-  while (at < end)
-    {
-      const char *newline = memchr (at, '\n', (size_t)(end - at));
-      size_t n = newline ? (size_t)(newline - at) : (size_t)(end - at);
-
-      if (n > 3 && !memcmp (at, "id:", 3))
-        {
-          at += 3;
-          n -= 3;
-          while (n > 0 && *at == ' ')
-            {
-              at++;
-              n--;
-            }
-          while (n > 0 && at[n - 1] == '\r')
-            n--;
-          *id_len = n;
-          return at;
-        }
-      at += n + 1;
-    }
-  return NULL;
-}
-
 static void
 record_event_time (Relay *r, Attempt *a)
 {
@@ -98,14 +65,12 @@
          || dialect->ops->decode_event (dialect, r->request, event, len, out);
 }
 
-/* Forwards one event. Its id is stored, since a retry resumes the stream after the last event forwarded. */
+/* Forwards one event. Its id is noted, since a retry resumes the stream after the last event forwarded. */
 static bool
 on_event (void *data, const char *event, size_t len)
 {
   Attempt *a = data;
   Relay *r = a->relay;
-  size_t id_len = 0;
-  const char *id = event_id (event, len, &id_len);
   RelayEvent decoded;
 
   if (!decode_event (r, event, len, &decoded) || decoded.mismatched)
@@ -128,11 +93,7 @@
       begin_response (r, a);
       commit_prompt (r);
     }
-  if (id && id_len < sizeof r->last_event_id)
-    {
-      memcpy (r->last_event_id, id, id_len);
-      r->last_event_id[id_len] = '\0';
-    }
+  event_id_note (&r->last_event_id, r, event, len);
   r->events++;
   r->delivered += decoded.tokens;
   counter_add (relay_counters ()->tokens_delivered, decoded.tokens);
--- a/tests/unit/test_begun_streams.c
+++ b/tests/unit/test_begun_streams.c
@@ -103,10 +103,90 @@
   relay_fixture_free (f);
 }
 
+/* What a stream brought before it broke off, and the id after which its rest is asked for; NULL: it must not be. */
+typedef struct
+{
+  const char *events;
+  const char *asked_after;
+} BrokenStream;
+
+static RelayFixture *
+break_off (const BrokenStream *b)
+{
+  RelayFixture *f = relay_fixture_new (CALL_STREAM);
+
+  f->request.resumable = true;
+  f->request.repeatable = true;
+  f->request.last_event_id = "0";
+  relay_fixture_start (f);
+  fake_backend_send_head (relay_fixture_last_call (f), 200, STREAM_HEADERS);
+  fake_backend_send_body (relay_fixture_last_call (f), b->events);
+  fake_backend_fail (relay_fixture_last_call (f), FAIL_RESPONSE_TRUNCATED);
+  return f;
+}
+
+static void
+check_rest (const BrokenStream *b)
+{
+  RelayFixture *f = break_off (b);
+  const FakeBackendCall *c = relay_fixture_last_call (f);
+  char *line = talloc_asprintf (f, "Last-Event-Id: %s\n", b->asked_after ? b->asked_after : "");
+
+  CU_ASSERT_EQUAL (f->backend->n_calls, b->asked_after ? 2 : 1);
+  CU_ASSERT_EQUAL (f->aborted, !b->asked_after);
+  CU_ASSERT (!b->asked_after || strstr (c->headers, line));
+  relay_fixture_free (f);
+}
+
+/* Guards against pieces that a client gets twice, because the rest of a stream is asked for after an older event than the last
+ * one, or from its beginning. */
+static void
+rest_of_a_stream_is_asked_for_after_its_last_event_or_not_at_all (void)
+{
+  static const BrokenStream STREAMS[] = {
+    { "id: 01KBQ4Z9X3M700000000000027\ndata: a\n\n", "01KBQ4Z9X3M700000000000027" },
+    { "id:x\r\ndata: a\r\n\r\n", "x" },
+    { "id: 1\nid: 2\ndata: a\n\n", "2" },
+    { "id: 1\ndata: a\n\n: waiting\n\n", "1" },
+    { "id: 1\ndata: a\n\nid: 2\n\n", "2" },
+    { "data: id: 1\n\n", NULL },
+    { "id: 1\ndata: a\n\ndata: b\n\n", NULL },
+    { "id: 1\ndata: a\n\nid\ndata: b\n\n", NULL },
+    { "id: 1\ndata: a\n\nid:  2\ndata: b\n\n", NULL },
+    { "id: 1\ndata: a\n\nid: 2\rX-Tenant: x\ndata: b\n\n", NULL },
+  };
+
+  for (size_t i = 0; i < sizeof STREAMS / sizeof STREAMS[0]; i++)
+    check_rest (&STREAMS[i]);
+}
+
+/* Guards against ids that are cut to a fixed size. */
+static void
+ids_of_events_have_any_length_that_a_header_has (void)
+{
+  static const int BYTES[] = { 23, 24, 200, 1000, 4096, 4097, 20000 };
+
+  for (size_t i = 0; i < sizeof BYTES / sizeof BYTES[0]; i++)
+    {
+      char *id = talloc_array (NULL, char, BYTES[i] + 1);
+      BrokenStream b = { .asked_after = BYTES[i] > 4096 ? NULL : id };
+
+      memset (id, 'x', BYTES[i]);
+      id[BYTES[i]] = '\0';
+      b.events = talloc_asprintf (id, "id: 1\ndata: a\n\nid: %s\ndata: b\n\n", id);
+      check_rest (&b);
+      talloc_free (id);
+    }
+}
+
 int
 main (void)
 {
   static const TestCase CASES[] = {
+    { "rest_of_a_stream_is_asked_for_after_its_last_event_or_not_at_all",
+      rest_of_a_stream_is_asked_for_after_its_last_event_or_not_at_all },
+    { "ids_of_events_have_any_length_that_a_header_has",
+      ids_of_events_have_any_length_that_a_header_has },
     { "errors_after_a_stream_has_begun_break_it_off_and_are_charged",
       errors_after_a_stream_has_begun_break_it_off_and_are_charged },
     { "stream_goes_on_after_an_error_in_between", stream_goes_on_after_an_error_in_between },
