store: learn of removals sooner after a cut, and count the grace from its end

Cause: pause after a failed connect (600 ms), connect limit (500 ms), grace from the read of the removal (2,000 ms) and its tick (100 ms) add up to 3.2 s. Ruled out: requests in flight, load of the machine.

Change: a failed connect is followed by a short pause; a long poll whose answers are prompt is not waited for beyond 400 ms; the grace counts from the first call that succeeds and is asked at each choice of a server. dispatch_server_removed() takes the time instead of a flag. An outage of the store still costs no server before 2 s from its end.

--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -54,10 +54,9 @@
 /** Adds a server, or updates it from the record that it has published. */
 void dispatch_server_changed (Dispatch *dispatch, const ServerRecord *record, int64_t now_ms);
 
-/** The record of a server is no longer in the store. Unless the removal is @p confirmed, the record
- * may have expired only because of a store outage and may come back: the server stays in use for a
- * grace period. */
-void dispatch_server_removed (Dispatch *dispatch, const char *id, bool confirmed, int64_t now_ms);
+/** The record of a server is no longer in the store. @param grace_ms 0: its owner has removed it. Otherwise
+ * it may have expired only because of a store outage and may come back: the server stays in use for this time. */
+void dispatch_server_removed (Dispatch *dispatch, const char *id, int64_t grace_ms, int64_t now_ms);
 
 /** Another host reports that a server is draining. */
 void dispatch_server_draining (Dispatch *dispatch, const ServerInstance *instance, int64_t now_ms);
--- a/src/dispatch/server.c
+++ b/src/dispatch/server.c
@@ -128,6 +128,8 @@
 bool
 server_is_usable (const Server *s, int64_t now_ms)
 {
-  return !s->draining && !s->removed && now_ms >= s->backoff_until_ms
+  bool is_gone = s->removal_grace_until_ms > 0 && now_ms >= s->removal_grace_until_ms;
+
+  return !s->draining && !s->removed && !is_gone && now_ms >= s->backoff_until_ms
          && now_ms >= s->pause_until_ms;
 }
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -6,9 +6,6 @@
 #include "core/log.h"
 #include "dispatch/dispatch_impl.h"
 
-/* Servers publish records that expired during a store outage again within 2 s of the outage's end. */
-#define REMOVAL_GRACE_MS 2000
-
 /* Until the list of hosts is known: the largest fleet that the limits are to hold for. */
 #define ASSUMED_HOSTS 350
 
@@ -196,7 +193,7 @@
 }
 
 void
-dispatch_server_removed (Dispatch *d, const char *id, bool confirmed, int64_t now_ms)
+dispatch_server_removed (Dispatch *d, const char *id, int64_t grace_ms, int64_t now_ms)
 {
   Server *s;
   ServerInstance *ended = NULL;
@@ -205,10 +202,10 @@
   s = g_hash_table_lookup (d->servers, id);
   if (s)
     log_event (LOG_LEVEL_INFO, "dispatch", "server_removed",
-               "server=%s service=%s in_flight=%d steady=%d", id, s->service, s->in_flight,
-               confirmed);
-  if (s && !confirmed)
-    s->removal_grace_until_ms = now_ms + REMOVAL_GRACE_MS;
+               "server=%s service=%s in_flight=%d grace_ms=%" PRId64, id, s->service, s->in_flight,
+               grace_ms);
+  if (s && grace_ms > 0)
+    s->removal_grace_until_ms = now_ms + grace_ms;
   else if (s)
     {
       ended = copy_ended (NULL, s);
--- a/src/fleet/config_source.h
+++ b/src/fleet/config_source.h
@@ -17,9 +17,10 @@
   void (*catalog) (void *data, const Catalog *catalog);
   /** A server was published or its record has changed. */
   void (*server) (void *data, const ServerRecord *record);
-  /** A server is no longer published, or was not before. @p confirmed: its owner has removed it. Otherwise its row may
-   * only have expired in an outage of the store, or another program has overwritten it with one that cannot be read. */
-  void (*server_removed) (void *data, const char *id, bool confirmed);
+  /** A server is no longer published, or was not before. @p grace_ms 0: its owner has removed it. Otherwise its row may
+   * only have expired in an outage of the store, or another program has overwritten it with one that cannot be read: its owner
+   * may write it again for so long. */
+  void (*server_removed) (void *data, const char *id, int64_t grace_ms);
 } ConfigSourceEvents;
 
 typedef struct
--- a/src/host/host_impl.h
+++ b/src/host/host_impl.h
@@ -77,7 +77,7 @@
 
 /* host_servers.c: changes of backend servers. */
 void host_on_server_changed (void *data, const ServerRecord *record);
-void host_on_server_removed (void *data, const char *id, bool confirmed);
+void host_on_server_removed (void *data, const char *id, int64_t grace_ms);
 /* A response said that its server is draining. Any thread. */
 void host_on_server_draining (void *data, const ServerInstance *instance);
 /* A server has stated what request rate it accepts. Any thread. */
--- a/src/host/host_servers.c
+++ b/src/host/host_servers.c
@@ -13,12 +13,12 @@
 }
 
 void
-host_on_server_removed (void *data, const char *id, bool confirmed)
+host_on_server_removed (void *data, const char *id, int64_t grace_ms)
 {
   Host *h = data;
 
-  streams_server_removed (h->streams, id, confirmed, host_now_ms (h));
-  dispatch_server_removed (h->dispatch, id, confirmed, host_now_ms (h));
+  streams_server_removed (h->streams, id, grace_ms == 0, host_now_ms (h));
+  dispatch_server_removed (h->dispatch, id, grace_ms, host_now_ms (h));
 }
 
 /* --- Statements of servers --------------------------------------------------------------- */
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -67,6 +67,7 @@
   const char *table;
   int64_t after_version;
   int64_t wait_ms; /* long poll: how long the store may wait for a change */
+  int64_t late_ms; /* beyond that, the reply is waited for so much longer; 0: as for other calls */
 } StoreFeed;
 
 typedef enum
@@ -86,9 +87,10 @@
   StoreResult result;
   const StoreRow *rows;
   size_t n_rows;
-  int64_t version; /* of the store at the reply; after a commit, of the written rows */
-  int64_t time_ms; /* the store's monotonic clock at the reply; 0: not sent */
-  bool has_more;   /* range only: there are more rows than the limit */
+  int64_t version;    /* of the store at the reply; after a commit, of the written rows */
+  int64_t time_ms;    /* the store's monotonic clock at the reply; 0: not sent */
+  bool no_connection; /* the attempt to connect was not answered in time */
+  bool has_more;      /* range only: there are more rows than the limit */
   const char
       *last_name; /* of the last row of the reply, even if it was left out; NULL: as rows says */
   const char *detail; /* for the log; may be NULL */
--- a/src/store/store_watch.c
+++ b/src/store/store_watch.c
@@ -7,8 +7,12 @@
 
 #include "core/log.h"
 
-/* Owners rewrite rows that expired during an outage of the store within two seconds of its end. */
-#define STABLE_AFTER_MS 3000
+/* Owners rewrite rows that expired during an outage of the store within about two seconds of its end. */
+#define REWRITTEN_AFTER_MS 2000
+#define STABLE_AFTER_MS    3000
+
+/* For a row whose removal is found later than that, but before the store counts as stable. */
+#define MIN_GRACE_MS 300
 
 #define PAGE_ROWS 500
 
@@ -16,6 +20,14 @@
 #define INITIAL_MEAN_RETRY_MS 50
 #define MAX_MEAN_RETRY_MS     400
 
+/* After an attempt to connect that was not answered: it has taken long by itself, and nothing of it has reached the store. */
+#define UNCONNECTED_MEAN_RETRY_MS 100
+
+/* Replies that come so soon after the end of their wait are prompt. While they are, one that is later than the second limit is not
+ * waited for: the path to the store was cut, or the connection is dead. */
+#define PROMPT_MS 200
+#define LATE_MS   400
+
 /* Time in which owners rewrite the rows that a restore of the store has lost. */
 #define REWRITE_GRACE_MS 3000
 
@@ -38,6 +50,8 @@
   int64_t read_version;    /* of the store when the first page of the full read was read */
   int64_t version;         /* the feed has been read up to this version */
   int64_t stable_since_ms; /* first success after a failure or restore; INT64_MAX: none yet */
+  int64_t call_started_ms; /* of the call in flight */
+  bool is_prompt;          /* the last reply of the feed was */
   int64_t mean_retry_ms;   /* mean delay before the next retry */
   int64_t poll_delay_ms;   /* before the next poll, after a reply with changes */
   bool synced;
@@ -195,12 +209,22 @@
     read_feed (w);
 }
 
+static int64_t
+retry_delay_ms (StoreWatch *w, const StoreReply *reply)
+{
+  int64_t mean_ms = w->mean_retry_ms;
+
+  if (reply->no_connection && mean_ms > UNCONNECTED_MEAN_RETRY_MS)
+    mean_ms = UNCONNECTED_MEAN_RETRY_MS;
+  return mean_ms / 2 + (int64_t)rng_below (w->options.rng, (uint64_t)mean_ms);
+}
+
 static void
 retry_after_failure (StoreWatch *w, const StoreReply *reply)
 {
-  int64_t delay
-      = w->mean_retry_ms / 2 + (int64_t)rng_below (w->options.rng, (uint64_t)w->mean_retry_ms);
+  int64_t delay = retry_delay_ms (w, reply);
 
+  w->is_prompt = false;
   if (w->stable_since_ms != INT64_MAX)
     log_event (LOG_LEVEL_WARNING, "store", "watch_lost", "table=%s result=%s detail=\"%s\"",
                w->options.table, store_result_name (reply->result),
@@ -310,6 +334,8 @@
       return;
     }
   note_success (w);
+  w->is_prompt
+      = timers_now_ms (w->options.timers) - w->call_started_ms <= w->options.wait_ms + PROMPT_MS;
   for (size_t i = 0; i < reply->n_rows; i++)
     report_row (w, &reply->rows[i]);
   if (reply->version > w->version)
@@ -327,9 +353,12 @@
 static void
 read_feed (StoreWatch *w)
 {
-  StoreFeed feed
-      = { .table = w->options.table, .after_version = w->version, .wait_ms = w->options.wait_ms };
+  StoreFeed feed = { .table = w->options.table,
+                     .after_version = w->version,
+                     .wait_ms = w->options.wait_ms,
+                     .late_ms = w->is_prompt ? LATE_MS : 0 };
 
+  w->call_started_ms = timers_now_ms (w->options.timers);
   store_feed (w->options.store, w, &feed, on_feed, w);
 }
 
@@ -370,12 +399,18 @@
   w->poll_delay_ms = delay_ms;
 }
 
-bool
-store_watch_is_stable (const StoreWatch *w)
+int64_t
+store_watch_removal_grace_ms (const StoreWatch *w)
 {
-  int64_t now = timers_now_ms (w->options.timers);
-
-  return w->stable_since_ms != INT64_MAX && now - w->stable_since_ms >= STABLE_AFTER_MS;
+  int64_t stable_ms;
+
+  if (w->stable_since_ms == INT64_MAX)
+    return REWRITTEN_AFTER_MS;
+  stable_ms = timers_now_ms (w->options.timers) - w->stable_since_ms;
+  if (stable_ms >= STABLE_AFTER_MS)
+    return 0;
+  return stable_ms + MIN_GRACE_MS > REWRITTEN_AFTER_MS ? MIN_GRACE_MS
+                                                       : REWRITTEN_AFTER_MS - stable_ms;
 }
 
 bool
--- a/src/store/store_watch.h
+++ b/src/store/store_watch.h
@@ -48,9 +48,10 @@
  * reply. */
 void store_watch_set_poll_delay (StoreWatch *watch, int64_t delay_ms);
 
-/** @return whether calls have succeeded for long enough that a removed row was removed by its owner, rather than
- * expired in an outage of the store. */
-bool store_watch_is_stable (const StoreWatch *watch);
+/** Asked as a row was removed. @return 0 if calls have succeeded for so long that its owner has removed it. Otherwise it may have
+ * expired in an outage of the store, whose end is not known better than by the first call that succeeded: the time in
+ * which its owner still may write it again, ms. */
+int64_t store_watch_removal_grace_ms (const StoreWatch *watch);
 
 /** @return true once the first full read is complete. */
 bool store_watch_is_synced (const StoreWatch *watch);
--- a/src/ticket/ticket_source.c
+++ b/src/ticket/ticket_source.c
@@ -64,7 +64,7 @@
   while (g_hash_table_iter_next (&iter, &name, NULL))
     if (!g_hash_table_contains (s->listed_ids, name))
       {
-        s->options.events->server_removed (s->options.data, name, true);
+        s->options.events->server_removed (s->options.data, name, 0);
         g_hash_table_iter_remove (&iter);
       }
 }
--- a/tests/unit/crash_fleet.c
+++ b/tests/unit/crash_fleet.c
@@ -153,8 +153,7 @@
   ServerEvent *e = data;
 
   for (int i = 0; i < e->fleet->options.hosts; i++)
-    dispatch_server_removed (e->fleet->hosts[i].dispatch, e->id, true,
-                             crash_fleet_now_ms (e->fleet));
+    dispatch_server_removed (e->fleet->hosts[i].dispatch, e->id, 0, crash_fleet_now_ms (e->fleet));
   timers_start (e->fleet->clock, e, RESTART_MS - ENTRY_MS, on_restart, e);
 }
 
--- a/tests/unit/dispatch_fixture.c
+++ b/tests/unit/dispatch_fixture.c
@@ -88,7 +88,8 @@
 dispatch_fixture_remove (DispatchFixture *fx, int server, bool confirmed)
 {
   for (int i = 0; i < fx->n_hosts; i++)
-    dispatch_server_removed (fx->hosts[i], fx->servers[server].id, confirmed, fx->now_ms);
+    dispatch_server_removed (fx->hosts[i], fx->servers[server].id, confirmed ? 0 : 2000,
+                             fx->now_ms);
 }
 
 void
--- a/tests/unit/stream_fleet.c
+++ b/tests/unit/stream_fleet.c
@@ -516,7 +516,7 @@
 
   if (s->state == SERVER_ABSENT)
     {
-      dispatch_server_removed (h->dispatch, s->id, true, now);
+      dispatch_server_removed (h->dispatch, s->id, 0, now);
       streams_server_removed (h->streams, s->id, true, now);
       return;
     }
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -393,7 +393,7 @@
   finish (fx, a, ASSIGNMENT_COMPLETED);
   dispatch_server_changed (fx->hosts[0], &record, fx->now_ms);
   CU_ASSERT_PTR_NULL (pick (fx, 0, 1, &err));
-  dispatch_server_removed (fx->hosts[0], "server-0", true, fx->now_ms);
+  dispatch_server_removed (fx->hosts[0], "server-0", 0, fx->now_ms);
   dispatch_server_changed (fx->hosts[0], &record, fx->now_ms);
   CU_ASSERT_PTR_NULL (pick (fx, 0, 1, &err));
   record.started_ms = 7;
--- a/tests/unit/test_odd_rows.c
+++ b/tests/unit/test_odd_rows.c
@@ -173,9 +173,9 @@
 }
 
 static void
-on_server_removed (void *data, const char *id, bool confirmed)
+on_server_removed (void *data, const char *id, int64_t grace_ms)
 {
-  append (data, "-", id, confirmed ? " confirmed" : "");
+  append (data, "-", id, grace_ms == 0 ? " confirmed" : "");
 }
 
 static const ConfigSourceEvents SOURCE_EVENTS = { on_catalog, on_server, on_server_removed };
--- a/tests/unit/test_odd_rows_fuzz.c
+++ b/tests/unit/test_odd_rows_fuzz.c
@@ -354,9 +354,9 @@
 }
 
 static void
-on_server_removed (void *data, const char *id, bool confirmed)
+on_server_removed (void *data, const char *id, int64_t grace_ms)
 {
-  (void)data, (void)id, (void)confirmed;
+  (void)data, (void)id, (void)grace_ms;
 }
 
 static const ConfigSourceEvents SOURCE_EVENTS = { on_catalog, on_server, on_server_removed };
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -544,7 +544,7 @@
   fake_backend_time_out (relay_fixture_last_call (f), FAIL_NO_RESPONSE);
   quarantine_add_end (f->quarantine, &server, QUARANTINE_END_REFUSED,
                       timers_now_ms (f->deps.timers));
-  dispatch_server_removed (f->dispatch, id, true, timers_now_ms (f->deps.timers));
+  dispatch_server_removed (f->dispatch, id, 0, timers_now_ms (f->deps.timers));
   relay_fixture_run (f, 1000);
 }
 
@@ -593,8 +593,7 @@
       f->backend->indirect = indirect;
       for (int i = 0; i < 3; i++)
         {
-          dispatch_server_removed (f->dispatch, lose_helper (f), true,
-                                   timers_now_ms (f->deps.timers));
+          dispatch_server_removed (f->dispatch, lose_helper (f), 0, timers_now_ms (f->deps.timers));
           relay_fixture_run (f, 1000);
         }
       CU_ASSERT_EQUAL (quarantine_allows (f->quarantine, &PART, 1, true,
--- a/tests/unit/test_refusals.c
+++ b/tests/unit/test_refusals.c
@@ -168,7 +168,7 @@
       char other[24];
 
       snprintf (other, sizeof other, "server-%d", i);
-      dispatch_server_removed (f->dispatch, other, true, timers_now_ms (f->deps.timers));
+      dispatch_server_removed (f->dispatch, other, 0, timers_now_ms (f->deps.timers));
     }
   relay_fixture_start (f);
   CU_ASSERT_STRING_EQUAL (relay_fixture_last_call (f)->address, record.address);
--- a/tests/unit/test_server_signals.c
+++ b/tests/unit/test_server_signals.c
@@ -47,7 +47,7 @@
 
       snprintf (id, sizeof id, "server-%d", i);
       if (strcmp (id, address) != 0)
-        dispatch_server_removed (fx->dispatch, id, true, timers_now_ms (fx->deps.timers));
+        dispatch_server_removed (fx->dispatch, id, 0, timers_now_ms (fx->deps.timers));
     }
   relay_fixture_start (fx);
   sent = n_sent (fx) > before;
@@ -207,7 +207,7 @@
 
           snprintf (id, sizeof id, "server-%d", k);
           if (strcmp (id, address) != 0)
-            dispatch_server_removed (fx->dispatch, id, true, timers_now_ms (fx->deps.timers));
+            dispatch_server_removed (fx->dispatch, id, 0, timers_now_ms (fx->deps.timers));
         }
       relay_fixture_run (fx, 4000);
       exchange (fx, RESPONSES[i].status, RESPONSES[i].headers);
--- a/tests/unit/test_store_watch.c
+++ b/tests/unit/test_store_watch.c
@@ -262,6 +262,12 @@
   talloc_free (fx);
 }
 
+static bool
+is_stable (const Fixture *fx)
+{
+  return store_watch_removal_grace_ms (fx->watch) == 0;
+}
+
 /* Guards against taking rows that expired during a store outage for rows that their owners have removed. */
 static void
 watch_is_stable_only_after_a_time_without_failures (void)
@@ -269,16 +275,16 @@
   Fixture *fx = fixture_new ();
 
   reply_rows (fx, 5, NULL, 0, false);
-  CU_ASSERT_FALSE (store_watch_is_stable (fx->watch));
+  CU_ASSERT_FALSE (is_stable (fx));
   run_ms (fx, 3500);
-  CU_ASSERT (store_watch_is_stable (fx->watch));
+  CU_ASSERT (is_stable (fx));
   reply_failure (fx, STORE_UNKNOWN);
-  CU_ASSERT_FALSE (store_watch_is_stable (fx->watch));
+  CU_ASSERT_FALSE (is_stable (fx));
   run_ms (fx, 1000);
   reply_rows (fx, 5, NULL, 0, false);
-  CU_ASSERT_FALSE (store_watch_is_stable (fx->watch));
+  CU_ASSERT_FALSE (is_stable (fx));
   run_ms (fx, 3500);
-  CU_ASSERT (store_watch_is_stable (fx->watch));
+  CU_ASSERT (is_stable (fx));
   talloc_free (fx);
 }
 
@@ -350,7 +356,7 @@
   restore_store (fx, 5);
   reply_rows (fx, 60, backup, 2, false);
   CU_ASSERT_STRING_EQUAL (fx->events, "");
-  CU_ASSERT_FALSE (store_watch_is_stable (fx->watch));
+  CU_ASSERT_FALSE (is_stable (fx));
   CU_ASSERT (fx->is_feed);
   reply_rows (fx, 62, again, 2, false);
   CU_ASSERT_STRING_EQUAL (fx->events, "+joined=ready +drains=draining ");
--- a/tests/unit/test_versions.c
+++ b/tests/unit/test_versions.c
@@ -301,7 +301,7 @@
       if (!CASES[i].before_event)
         forward_event (f, FIRST_EVENT);
       if (CASES[i].removed)
-        dispatch_server_removed (f->dispatch, "server-0", true, timers_now_ms (f->deps.timers));
+        dispatch_server_removed (f->dispatch, "server-0", 0, timers_now_ms (f->deps.timers));
       for (int k = 0; k < 3 && CASES[i].rows[k].started_ms > 0; k++)
         relay_fixture_publish (f, 0, CASES[i].rows[k].version, CASES[i].rows[k].started_ms, false);
       if (CASES[i].before_event)
