cli: hold signals while a host starts and after it has stopped

Cause: the handlers were set last, and the default of these signals ends the process. Ruled out: two SIGTERM to one host.

Change: SIGTERM, SIGINT and SIGHUP are blocked from the beginning of serve until the handlers are set, and after the loop has ended; other threads keep them blocked.

--- a/src/cli/cli_serve.c
+++ b/src/cli/cli_serve.c
@@ -1,4 +1,5 @@
 /* sapphirepond serve: runs the router process of a host. */
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 
@@ -56,6 +57,20 @@
   talloc_free (problems);
 }
 
+/* Signals wait while the host starts and after it has stopped: their default is to end the process. Threads inherit the mask of
+ * the time at which they start, so that only this one takes signals. */
+static void
+hold_signals (int how)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
+  pthread_sigmask (how, &set, NULL);
+}
+
 static int
 serve (const void *ctx, const char *path, const Settings *settings)
 {
@@ -73,7 +88,9 @@
   tevent_add_signal (loop_tevent (control), control, SIGTERM, 0, on_stop_signal, &context);
   tevent_add_signal (loop_tevent (control), control, SIGINT, 0, on_stop_signal, &context);
   tevent_add_signal (loop_tevent (control), control, SIGHUP, 0, on_reload_signal, &context);
+  hold_signals (SIG_UNBLOCK);
   loop_run (control);
+  hold_signals (SIG_BLOCK);
   code = host_is_drained (context.host) ? CLI_OK : CLI_INCOMPLETE;
   talloc_free (context.host);
   return code;
@@ -83,9 +100,11 @@
 serve_file (const void *ctx, const char *path)
 {
   Problems *problems = problems_new (ctx, path);
-  Settings *settings = settings_load (ctx, path, problems);
+  Settings *settings;
   int code;
 
+  hold_signals (SIG_BLOCK);
+  settings = settings_load (ctx, path, problems);
   if (!settings)
     {
       fputs (problems_print (ctx, problems), stderr);
--- a/tests/process/test_failures.sh
+++ b/tests/process/test_failures.sh
@@ -145,6 +145,31 @@
 for n in $(seq 1 9); do chat_completion $((n % 3)) "Question $n" >/dev/null; done
 check "the stopped engine gets no requests" equal "$(engine_stat 0 started)" "$before"
 
+# Guards against a host that ends because its settings change, or that it is stopped, while it starts. It waits for its settings, which are a pipe.
+start_with_signal ()
+{
+  local pid rc
+  rm -f "$WORK/pipe.toml"
+  mkfifo "$WORK/pipe.toml"
+  "$BIN/sapphirepond" serve --settings "$WORK/pipe.toml" >"$WORK/pipe.log" 2>&1 &
+  pid=$!
+  PID[pipe]=$pid
+  sleep 0.5
+  kill "-$1" "$pid"
+  host_settings 9 >"$WORK/host-9.toml"
+  timeout 5 cp "$WORK/host-9.toml" "$WORK/pipe.toml"
+  if [ "$1" = HUP ]; then
+    eventually is_listening "$(port 309)" || return 1
+    timeout 5 cp "$WORK/host-9.toml" "$WORK/pipe.toml" # the settings are read again
+    stop pipe KILL
+    return 0
+  fi
+  unset "PID[pipe]"
+  wait "$pid"
+}
+check "SIGHUP while a host starts does not end it" start_with_signal HUP
+check "SIGTERM while a host starts stops it in order" start_with_signal TERM
+
 # Guards against granting the tokens of a killed host again.
 stop host-2 KILL 2>/dev/null
 stop host-0 TERM
