procsoak: count the budget as callers do

Cause: the check took the engines' count, which has the prompt of each request at each start, also of those that delivered nothing and cost nothing (docs/API.md: "A request costs nothing if its caller got nothing of an answer"). Traced by request now: the engines' counts by id, less the ids of which a client got something.

The promise forbids that callers get more than the budget: the input of a request that delivered, once, and delivered output. That is counted from the clients' own bytes, also over hosts that are killed before they log, which the engines' count could not tell apart; the bound is the same.

--- a/tests/procsoak/clients.c
+++ b/tests/procsoak/clients.c
@@ -95,6 +95,41 @@
   json_decref (json);
 }
 
+/* What the account's promise is about: the input of a request that delivered something, once, and the output that it has
+ * delivered. @param output tokens that the client has */
+static void
+count_delivered (Request *r, int64_t output)
+{
+  if (output == 0)
+    return;
+  r->soak->delivered_tokens += (r->prompt_bytes + 3) / 4 + output;
+  g_hash_table_add (r->soak->delivered_ids, g_strdup (r->id));
+}
+
+static int
+count_events (const Request *r)
+{
+  const char *at = r->body ? r->body : "";
+  int n = 0;
+
+  while ((at = strstr (at, "\"content\":\"t")))
+    {
+      at++;
+      n++;
+    }
+  return n;
+}
+
+/* To be called when the request ends, however it does. */
+static void
+count_tokens (Request *r, bool complete, int status)
+{
+  if (r->kind == REQUEST_STREAM)
+    count_delivered (r, count_events (r));
+  else if (r->kind == REQUEST_MODEL && complete && status == 200)
+    count_delivered (r, r->max_tokens);
+}
+
 /* The stand-in numbers its tokens, so tokens that are missing, duplicated or from another stream are detected. */
 static void
 check_stream (Request *r)
@@ -170,6 +205,7 @@
   const char *id = http_exchange_header (exchange, "X-Request-Id");
 
   snprintf (r->id, sizeof r->id, "%s", id ? id : "");
+  count_tokens (r, result == HTTP_COMPLETE, http_exchange_status (exchange));
   if (soak_now_ms (r->soak) - r->started_ms > SOAK_DEADLINE_MS + DEADLINE_SLACK_MS
       && !was_interrupted (r))
     report_violation (r, "response_before_deadline", "late");
@@ -238,7 +274,10 @@
 on_client_cancel (void *data)
 {
   Request *r = data;
+  const char *id = http_exchange_header (r->exchange, "X-Request-Id");
 
+  snprintf (r->id, sizeof r->id, "%s", id ? id : "");
+  count_tokens (r, false, 0);
   r->soak->open_requests--;
   talloc_free (r);
 }
--- a/tests/procsoak/main.c
+++ b/tests/procsoak/main.c
@@ -190,6 +190,7 @@
   s->pending_stop = s->stopped_engine = -1;
   s->bookings = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   s->not_run_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  s->delivered_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   rng_seed (&s->rng, options->seed);
   return s;
 }
--- a/tests/procsoak/procsoak.h
+++ b/tests/procsoak/procsoak.h
@@ -72,10 +72,12 @@
   int stopped_engine;      /* engine with an accepted planned stop, or -1 */
   bool faults_ended;       /* no new faults are injected */
   bool requests_ended;
-  GHashTable *bookings;    /* idempotency key to BookingOutcome */
-  GHashTable *not_run_ids; /* ids of requests reported with the outcome "not_run" */
-  int open_requests;       /* requests without a final response */
-  int faults;              /* attempts; one is skipped if its target is down or faulty */
+  GHashTable *bookings;      /* idempotency key to BookingOutcome */
+  GHashTable *not_run_ids;   /* ids of requests reported with the outcome "not_run" */
+  int64_t delivered_tokens;  /* of prompts of which something was delivered, and delivered output */
+  GHashTable *delivered_ids; /* ids of these requests */
+  int open_requests;         /* requests without a final response */
+  int faults;                /* attempts; one is skipped if its target is down or faulty */
   int requests;
   int completed; /* responses with status 200 */
   int violations;
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -57,6 +57,7 @@
       r->steps_skipped = 0;
       r->output_tokens++;
       engine->standin->tokens++;
+      r->counts->tokens++;
       engine->on_token (r);
     }
   schedule_step (engine);
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -20,6 +20,7 @@
   int64_t uncached_tokens;
   int64_t max_tokens;
   int64_t output_tokens;
+  StandinRequestCounts *counts;
   bool stream;
   bool truncate_response;
   int steps_per_token; /* more than 1 simulates a slow server */
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -56,6 +56,7 @@
   int started;
   int finished;
   int cancelled;
+  int64_t tokens; /* of its prompt, at each start, and its output */
 } StandinRequestCounts;
 
 /** Parses the command line, which accepts @p entries besides the common options, and opens the port.
