http: end exchanges whose endless bytes are neither head nor body

What callers would see: requests on a host's thread stand still while faulty servers send chunk extensions without end on many connections; time limits do not end them.

Cause: libcurl serves all exchanges with bytes to read before it returns to the loop, and the time limits are timers of that loop. Extensions count as neither head nor body. Ruled out: memory, a call that never returns, the timer service.

Change: after each pass of libcurl an exchange that is past its limit, and had three passes without a byte of its body, is ended.

--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -41,6 +41,9 @@
   bool head_complete;    /* the empty line after the head of the final response has arrived */
   bool headers_reported;
   bool aborted;
+  bool timed_out;        /* on_progress() has ended it */
+  curl_off_t body_bytes; /* at the last call of on_progress() */
+  int idle_passes; /* of libcurl over the exchange, after its time limit and without a byte of the body */
   size_t head_bytes; /* of all response header lines, interim responses included */
   int head_lines;
 };
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -15,6 +15,10 @@
 #define MAX_HEAD_BYTES 32768
 #define MAX_HEAD_LINES 200
 
+/* libcurl serves an exchange with bytes to read before it returns to the loop, and those of many exchanges in one call. Bytes that are neither
+ * head nor body, such as extensions of a chunk, have no limit there, and no timer fires meanwhile. */
+#define MAX_IDLE_PASSES 3
+
 static void start_time_limit (HttpExchange *x, int64_t ms);
 
 static HttpResult
@@ -82,7 +86,7 @@
   /* libcurl takes a connection that is closed in the middle of a head for the end of a response without a body. */
   if (is_complete && x->head_complete && (x->proves_end || http_exchange_has_framed_end (x)))
     return HTTP_COMPLETE;
-  return failure_of (x, code == CURLE_OPERATION_TIMEDOUT);
+  return failure_of (x, code == CURLE_OPERATION_TIMEDOUT || x->timed_out);
 }
 
 HttpResult
@@ -232,6 +236,25 @@
     }
 }
 
+/* Called by libcurl after each pass over the exchange. What has arrived by the limit is read first, so that a stall of the loop
+ * doesn't count: a few passes are enough for that. */
+static int
+on_progress (void *data, curl_off_t total, curl_off_t received, curl_off_t to_send, curl_off_t sent)
+{
+  HttpExchange *x = data;
+
+  (void)total, (void)to_send, (void)sent;
+  if (received != x->body_bytes || !x->response_started
+      || time_left_ms (x, timers_now_ms (loop_timers (x->client->loop))) > 0)
+    {
+      x->body_bytes = received;
+      x->idle_passes = 0;
+      return 0;
+    }
+  x->timed_out = ++x->idle_passes > MAX_IDLE_PASSES;
+  return x->timed_out;
+}
+
 static void
 count_received (const HttpExchange *x, size_t bytes)
 {
@@ -417,6 +440,9 @@
   curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (e, CURLOPT_HEADERDATA, x);
   curl_easy_setopt (e, CURLOPT_HTTPHEADER, x->headers);
+  curl_easy_setopt (e, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt (e, CURLOPT_XFERINFOFUNCTION, on_progress);
+  curl_easy_setopt (e, CURLOPT_XFERINFODATA, x);
   curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, on_before_request);
   curl_easy_setopt (e, CURLOPT_PREREQDATA, x);
   curl_easy_setopt (e, CURLOPT_OPENSOCKETFUNCTION, open_socket);
--- a/tests/unit/test_endless.c
+++ b/tests/unit/test_endless.c
@@ -40,6 +40,7 @@
   const char *prefix; /* beginning of the response */
   const char *filler; /* repeated without end */
   bool streamed;      /* parsed as server-sent events, as the relay does with a stream */
+  int64_t limit_ms;   /* of the exchange; 0: it must end long before its limit */
 } ResponseShape;
 
 typedef struct
@@ -229,7 +230,7 @@
   BackendRequest request = { .address = server_start (ctx, &server, shape),
                              .method = "GET",
                              .target = "/",
-                             .timeout_ms = 60000 };
+                             .timeout_ms = shape->limit_ms ? shape->limit_ms : 60000 };
 
   totals->quota.limit_bytes = QUOTA_BYTES;
   for (int i = 0; i < N_REQUESTS; i++)
@@ -261,16 +262,26 @@
 endless_responses_are_aborted_in_bounded_memory (void)
 {
   static const ResponseShape SHAPES[] = {
-    { "status line", "HTTP/1.1 200 ", "OKOKOKOK", false },
-    { "header line", HEAD "X-A: ", "aaaaaaaaaaaaaaaa", false },
-    { "header lines", HEAD, "X-A: aaaaaaaa\r\n", false },
-    { "not HTTP", "", "garbage ", false },
-    { "body without length", HEAD "\r\n", "aaaaaaaaaaaaaaaa", false },
-    { "body of great length", HEAD "Content-Length: 99999999999\r\n\r\n", "aaaaaaaaaaaaaaaa",
-      false },
-    { "chunk size", HEAD "Transfer-Encoding: chunked\r\n\r\n", "0000000000000000", false },
-    { "chunks", HEAD "Transfer-Encoding: chunked\r\n\r\n", "8\r\naaaaaaaa\r\n", false },
-    { "event without end", HEAD "\r\n", "data: aaaaaaaaaa", true },
+    { "status line", "HTTP/1.1 200 ", "OKOKOKOK", false, 0 },
+    { "header line", HEAD "X-A: ", "aaaaaaaaaaaaaaaa", false, 0 },
+    { "header lines", HEAD, "X-A: aaaaaaaa\r\n", false, 0 },
+    { "not HTTP", "", "garbage ", false, 0 },
+    { "body without length", HEAD "\r\n", "aaaaaaaaaaaaaaaa", false, 0 },
+    { "body of great length", HEAD "Content-Length: 99999999999\r\n\r\n", "aaaaaaaaaaaaaaaa", false,
+      0 },
+    { "chunk size", HEAD "Transfer-Encoding: chunked\r\n\r\n", "0000000000000000", false, 0 },
+    { "chunks", HEAD "Transfer-Encoding: chunked\r\n\r\n", "8\r\naaaaaaaa\r\n", false, 0 },
+    { "event without end", HEAD "\r\n", "data: aaaaaaaaaa", true, 0 },
+    { "event of many lines", HEAD "\r\n", "data: aaaaaaaaaa\n", true, 0 },
+    { "interim heads", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 Processing\r\n\r\n", false,
+      0 },
+    { "lines of an interim head", "HTTP/1.1 103 Early Hints\r\n", "Link: aaaaaaaa\r\n", false, 0 },
+    { "trailers", HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: aaaaaaaa\r\n", false, 0 },
+    { "trailer line", HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\nX-A: ", "aaaaaaaaaaaaaaaa",
+      false, 0 },
+    /* libcurl skips it without counting it: only the time ends it. */
+    { "chunk extension", HEAD "Transfer-Encoding: chunked\r\n\r\n8;x=", "aaaaaaaaaaaaaaaa", false,
+      2000 },
   };
 
   for (size_t i = 0; i < sizeof SHAPES / sizeof SHAPES[0]; i++)
