http: a kept connection that was reset while idle is stale

Related path of the tunnels' resets: hosts now reset the tunnels that they close, and is_stale() took an error of the socket for a usable connection. Found by reading.

Change: any error but "nothing there" is stale. tunnel_that_was_reset_is_not_used_again holds without it too, since libcurl looks for errors itself as it chooses a connection; what is closed is the moment between that and the request.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -1,5 +1,6 @@
 #include "http/client_impl.h"
 
+#include <errno.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
@@ -340,14 +341,17 @@
   return close (fd);
 }
 
-/* @return whether an idle connection holds unread bytes, which belong to no request, or was closed by the server.
+/* @return whether an idle connection holds unread bytes, which belong to no request, or was closed or reset by the server.
  * libcurl 7.88 uses such a connection again. */
 static bool
 is_stale (int fd)
 {
   char byte;
 
-  return fd >= 0 && recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0;
+  if (fd < 0)
+    return false;
+  return recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0
+         || (errno != EAGAIN && errno != EINTR);
 }
 
 static bool
--- a/tests/unit/test_tunnel.c
+++ b/tests/unit/test_tunnel.c
@@ -362,6 +362,47 @@
   odd_server_stop (&server);
 }
 
+/* Answers one request on each of two connections, with a length, and keeps them open. */
+static void *
+serve_two_connections (void *data)
+{
+  OddServer *s = data;
+  int fds[2];
+  char bytes[4096];
+
+  for (int i = 0; i < 2; i++)
+    {
+      fds[i] = accept (s->listener, NULL, NULL);
+      if (recv (fds[i], bytes, sizeof bytes, 0) <= 0
+          || send (fds[i], RESPONSE, sizeof RESPONSE - 1, MSG_NOSIGNAL) < 0)
+        CU_FAIL ("no request");
+    }
+  close (fds[0]);
+  close (fds[1]);
+  return NULL;
+}
+
+/* Guards against a request that is sent on a kept connection which was reset while it was idle, as a host that stops does with its
+ * tunnels: it would count as one that may have run. */
+static void
+tunnel_that_was_reset_is_not_used_again (void)
+{
+  Fixture f;
+  OddServer server;
+  char *address;
+
+  fixture_start (&f);
+  address = server_start (f.loop, &server, serve_two_connections);
+  request (&f, address);
+  CU_ASSERT_EQUAL (f.result, HTTP_COMPLETE);
+  CU_ASSERT_EQUAL (
+      tunnel_server_close_idle (f.tunnels, timers_now_ms (loop_timers (f.loop)) + 10000), 0);
+  request (&f, address);
+  CU_ASSERT_EQUAL (f.result, HTTP_COMPLETE);
+  fixture_stop (&f);
+  odd_server_stop (&server);
+}
+
 /* Guards against hosts of an older version, which do not reset the tunnel when they are killed: while a fleet is replaced,
  * the end of their tunnels proves nothing. */
 static void
@@ -452,6 +493,7 @@
     { "refused_tunnel_is_a_failed_connect", refused_tunnel_is_a_failed_connect },
     { "reset_of_the_server_comes_through", reset_of_the_server_comes_through },
     { "end_of_the_helper_is_no_end_of_an_answer", end_of_the_helper_is_no_end_of_an_answer },
+    { "tunnel_that_was_reset_is_not_used_again", tunnel_that_was_reset_is_not_used_again },
     { "end_of_the_server_comes_through", end_of_the_server_comes_through },
     { "end_is_not_proved_by_a_helper_that_does_not_say_so",
       end_is_not_proved_by_a_helper_that_does_not_say_so },
