relay: a text that mentions a status line is no second answer

Change: half a head counts only if whole lines of a head follow the status line; a stream ends before a second answer only if it has brought an event.

--- a/src/relay/extra_answer.c
+++ b/src/relay/extra_answer.c
@@ -33,12 +33,15 @@
       const char *newline = memchr (line, '\n', (size_t)(end - line));
 
       if (!newline)
-        return len < MAX_HEAD_BYTES ? EXTRA_ANSWER_POSSIBLE : EXTRA_ANSWER_NONE;
+        return line > at && len < MAX_HEAD_BYTES ? EXTRA_ANSWER_POSSIBLE : EXTRA_ANSWER_NONE;
       if (newline == line || (newline == line + 1 && *line == '\r'))
         return has_id ? EXTRA_ANSWER_FOUND : EXTRA_ANSWER_NONE;
       if ((size_t)(newline - line) > name_len && line[name_len] == ':'
           && !strncasecmp (line, id_header, name_len))
         has_id = true;
+      /* A text that mentions a status line goes on with something else. */
+      if (newline[-1] != '\r' || (line > at && !memchr (line, ':', (size_t)(newline - line))))
+        return EXTRA_ANSWER_NONE;
       line = newline + 1;
     }
 }
--- a/src/relay/relay_end.c
+++ b/src/relay/relay_end.c
@@ -209,7 +209,7 @@
   if (found == EXTRA_ANSWER_NONE)
     return false;
   note_extra_answer (r, found);
-  a->answered_twice = found == EXTRA_ANSWER_FOUND && at == 0;
+  a->answered_twice = found == EXTRA_ANSWER_FOUND && at == 0 && r->events > 0;
   return true;
 }
 
--- a/tests/unit/test_unframed.c
+++ b/tests/unit/test_unframed.c
@@ -230,15 +230,46 @@
     }
 }
 
+/* Guards against a second answer behind a head that looks like an empty stream that is whole. */
+static void
+second_answer_before_the_first_event_is_no_end (void)
+{
+  RelayFixture *f = relay_fixture_new (CALL_STREAM);
+
+  relay_fixture_start (f);
+  relay_fixture_last_call (f)->unframed = true;
+  relay_fixture_send_head (f, 200);
+  fake_backend_send_body (relay_fixture_last_call (f), SECOND);
+  CU_ASSERT_FALSE (f->ended);
+  CU_ASSERT_EQUAL (f->status, 502);
+  relay_fixture_free (f);
+}
+
+/* Guards against an answer about HTTP that is cut off, as a stream or as a text without a line's end. */
+static void
+text_without_a_line_end_is_passed_on (void)
+{
+  static const char TEXT[] = "{\"said\":\"HTTP/1.1 200 OK and more\"}";
+  RelayFixture *f = send_behind (CALL_IDEMPOTENT, TEXT, true);
+
+  answer_question (f, 200, NULL);
+  CU_ASSERT (is_whole (f));
+  CU_ASSERT_STRING_EQUAL (f->body + strlen (EVENT), TEXT);
+  relay_fixture_free (f);
+}
+
 /* Guards against an answer about HTTP that is cut off. */
 static void
 text_that_is_no_answer_is_passed_on (void)
 {
-  static const char *const TEXTS[]
-      = { "id: 2\ndata: HTTP/1.1 200 OK\n\n", "HTTP/1.1 200 OK\r\nServer: x\r\n\r\n",
-          "HTTP/2 200\r\nX-Request-Id: r-1\r\n\r\n", "HHHTTP/1.1 is old\n\n" };
+  static const char *const TEXTS[] = { "id: 2\ndata: HTTP/1.1 200 OK\n\n",
+                                       "HTTP/1.1 200 OK\r\nServer: x\r\n\r\n",
+                                       "HTTP/2 200\r\nX-Request-Id: r-1\r\n\r\n",
+                                       "HHHTTP/1.1 is old\n\n",
+                                       "data: it said HTTP/1.1 200 OK and went on\n\n",
+                                       "data: HTTP/1.1 200 OK\r\ndata: and no more\r\n\r\n" };
 
-  for (int i = 0; i < 8; i++)
+  for (int i = 0; i < 12; i++)
     {
       RelayFixture *f = send_behind (i % 2 ? CALL_STREAM : CALL_IDEMPOTENT, TEXTS[i / 2], true);
 
@@ -263,6 +294,9 @@
     { "second_answer_is_left_out", second_answer_is_left_out },
     { "part_of_a_second_answer_is_not_passed_on_as_whole",
       part_of_a_second_answer_is_not_passed_on_as_whole },
+    { "second_answer_before_the_first_event_is_no_end",
+      second_answer_before_the_first_event_is_no_end },
+    { "text_without_a_line_end_is_passed_on", text_without_a_line_end_is_passed_on },
     { "text_that_is_no_answer_is_passed_on", text_that_is_no_answer_is_passed_on },
     { "end_of_the_request_ends_the_question", end_of_the_request_ends_the_question },
   };
