--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -11,7 +11,7 @@
 #include "harness.h"
 #include "relay_fixture.h"
 
-#define MAX_HOSTS 100
+#define MAX_HOSTS 350
 #define WINDOW_MS 10000
 #define SLICE_MS  100
 #define RATIO     0.2
@@ -26,6 +26,8 @@
   int n;
   Dispatch *hosts[MAX_HOSTS];
   bool running[MAX_HOSTS];
+  int starts[MAX_HOSTS]; /* slice of the next start; 0: none */
+  int told[MAX_HOSTS];   /* slice in which it is told the hosts after that */
   ListedHost list[MAX_HOSTS];
   CatalogService service;
   Rng rng;
@@ -34,7 +36,7 @@
 } Fleet;
 
 static Dispatch *
-start_host (Fleet *f, int i)
+start_host (Fleet *f, int i, int slice)
 {
   DispatchOptions options = { .host = f->list[i].name,
                               .data_centre = "d",
@@ -50,7 +52,7 @@
         .id = SERVERS[k], .service = "s", .address = SERVERS[k], .data_centre = "d", .version = "v"
       };
 
-      dispatch_server_changed (d, &record, 0);
+      dispatch_server_changed (d, &record, (int64_t)slice * SLICE_MS);
     }
   return d;
 }
@@ -73,7 +75,7 @@
 {
   for (int i = from; i < to; i++)
     {
-      f->hosts[i] = start_host (f, i);
+      f->hosts[i] = start_host (f, i, 0);
       f->running[i] = true;
     }
 }
@@ -162,7 +164,7 @@
 
 static const double RATES[] = { 2, 20, 200, 1000 };
 
-static const int SIZES[] = { 5, 8, 20, MAX_HOSTS };
+static const int SIZES[] = { 5, 8, 20, 100, MAX_HOSTS };
 
 /* Runs a case for fleets of several sizes, at several rates. */
 static void
@@ -255,6 +257,104 @@
   for_each_fleet (restart_all);
 }
 
+/* --- Lives --------------------------------------------------------------------------------- */
+
+/* Kills a host's process. The next one starts after some slices and is told the hosts after some more; @p alone: after the
+ * rest of the run, as it is cut off from the list of hosts. */
+static void
+kill_host (Fleet *f, int i, int slice, bool alone)
+{
+  TALLOC_FREE (f->hosts[i]);
+  f->running[i] = false;
+  f->starts[i] = slice + 1 + (int)rng_below (&f->rng, 12);
+  f->told[i] = alone ? RUN_SLICES : f->starts[i] + (int)rng_below (&f->rng, 20);
+}
+
+static void
+advance_lives (Fleet *f, int slice)
+{
+  for (int i = 0; i < f->n; i++)
+    {
+      if (f->starts[i] == slice)
+        {
+          f->hosts[i] = start_host (f, i, slice);
+          f->running[i] = true;
+        }
+      if (f->told[i] == slice && f->running[i])
+        tell_hosts (f, i, i + 1, f->n, 0);
+    }
+}
+
+static void
+kill_some (Fleet *f, int slice, double share, bool alone)
+{
+  for (int i = 0; i < f->n; i++)
+    if (f->running[i] && rng_chance (&f->rng, share))
+      kill_host (f, i, slice, alone);
+}
+
+/* All hosts are killed together, as often as @p kills says, at random moments of one window. */
+static void
+run_kills_of_all (Fleet *f, double rate, int kills, bool alone)
+{
+  start_hosts (f, 0, f->n);
+  tell_hosts (f, 0, f->n, f->n, 0);
+  run (f, 0, 200, rate);
+  for (int slice = 200, left = kills; slice < RUN_SLICES; slice++)
+    {
+      advance_lives (f, slice);
+      if (left > 0 && rng_chance (&f->rng, 0.04 * kills))
+        {
+          kill_some (f, slice, 1, alone);
+          left--;
+        }
+      run (f, slice, slice + 1, rate);
+    }
+}
+
+static void
+kill_all_once (Fleet *f, double rate)
+{
+  run_kills_of_all (f, rate, 1, false);
+}
+
+static void
+kill_all_thrice (Fleet *f, double rate)
+{
+  run_kills_of_all (f, rate, 3, false);
+}
+
+static void
+kill_all_in_a_cut (Fleet *f, double rate)
+{
+  run_kills_of_all (f, rate, 3, true);
+}
+
+/* Single hosts are killed all along, some of them several times in a window. */
+static void
+kill_single_hosts (Fleet *f, double rate)
+{
+  start_hosts (f, 0, f->n);
+  tell_hosts (f, 0, f->n, f->n, 0);
+  for (int slice = 0; slice < RUN_SLICES; slice++)
+    {
+      advance_lives (f, slice);
+      if (rng_chance (&f->rng, 0.3))
+        kill_some (f, slice, 0.2, false);
+      run (f, slice, slice + 1, rate);
+    }
+}
+
+/* Guards against processes that count from zero although their predecessors have sent requests again in the same window. */
+static void
+retries_of_all_lives_in_a_window_stay_within_the_limit (void)
+{
+  for_each_fleet (kill_all_once);
+  for_each_fleet (kill_all_thrice);
+  for_each_fleet (kill_all_in_a_cut);
+  for_each_fleet (kill_single_hosts);
+}
+
 /* @return how many requests the host may send again to the fixture's service; uses them up. */
 static int
 take_retries (RelayFixture *f)
@@ -344,6 +444,8 @@
       retries_stay_within_the_limit_while_hosts_are_cut_off },
     { "retries_stay_within_the_limit_after_a_common_restart",
       retries_stay_within_the_limit_after_a_common_restart },
+    { "retries_of_all_lives_in_a_window_stay_within_the_limit",
+      retries_of_all_lives_in_a_window_stay_within_the_limit },
   };
 
   return harness_run ("retry_budget", CASES, sizeof CASES / sizeof CASES[0]);
