dispatch: a new process sends nothing again until a window has passed

Cause: the counts of the window lie in the memory of a process. A new process counts from zero while the window still holds what its predecessor sent, and what that sent was a share of the requests before the kill. Ruled out: uncounted arrivals (decided is not less than arrived), hosts that don't know each other (all did).

Change: no retries for a window and a slice after the start of a process. Exact for any number of kills, also without the store, because no window holds retries of two processes of a host. The refusal says which limit it was.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -267,16 +267,18 @@
   Server *s;
   ServerPool *p;
   Assignment *a = NULL;
+  const char *forbidden = NULL;
 
   pthread_mutex_lock (&d->lock);
   p = server_pool_get (d, q->service->name);
   s = choose_server (d, p, q, &c);
+  if (s && q->is_retry)
+    forbidden = retry_budget_take (&p->retry_budget, &d->options.retries, n_hosts (d), q->now_ms);
   if (!s)
     set_pick_error (d, q, &c, err);
-  else if (q->is_retry
-           && !retry_budget_take (&p->retry_budget, &d->options.retries, n_hosts (d), q->now_ms))
-    err_set (err, ERR_RETRIES_EXHAUSTED, "service %s: the retry limits have no room",
-             q->service->name);
+  else if (forbidden)
+    err_set (err, ERR_RETRIES_EXHAUSTED, "service %s: retry limits: %s", q->service->name,
+             forbidden);
   else
     {
       if (!q->is_retry && !q->is_counted)
--- a/src/dispatch/retry_budget.c
+++ b/src/dispatch/retry_budget.c
@@ -6,11 +6,24 @@
  * hosts have joined. */
 #define USED_SHARE 0.8
 
+static int64_t
+slice_ms (const RetryLimits *limits)
+{
+  return limits->window_ms / (RETRY_BUDGET_SLICES - 1);
+}
+
+/* One slice more than the window, for retries that were on the way when their process ended. */
+void
+retry_limits_hold_back (RetryLimits *limits, int64_t started_ms)
+{
+  limits->not_before_ms = started_ms + limits->window_ms + slice_ms (limits);
+}
+
 /* The newest slice is incomplete: the other ones cover the window. */
 static void
 advance (RetryBudget *b, const RetryLimits *limits, int64_t now_ms)
 {
-  int64_t slice = now_ms / (limits->window_ms / (RETRY_BUDGET_SLICES - 1));
+  int64_t slice = now_ms / slice_ms (limits);
   int64_t steps = slice - b->slice;
 
   if (steps <= 0)
@@ -46,16 +59,18 @@
   b->requests[b->slice % RETRY_BUDGET_SLICES]++;
 }
 
-bool
+const char *
 retry_budget_take (RetryBudget *b, const RetryLimits *limits, int hosts, int64_t now_ms)
 {
   double room;
 
+  if (now_ms < limits->not_before_ms)
+    return "an earlier process of this host may have used them";
   advance (b, limits, now_ms);
   room = USED_SHARE
          * (limits->ratio * sum (b->requests) + limits->allowance / (hosts > 0 ? hosts : 1));
   if (sum (b->retries) + 1 > room)
-    return false;
+    return "they have no room";
   b->retries[b->slice % RETRY_BUDGET_SLICES]++;
-  return true;
+  return NULL;
 }
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -134,6 +134,7 @@
                       .covered_outage_ms = BUDGET_OUTAGE_MS,
                       .max_held_pct = BUDGET_MAX_HELD_PCT } };
 
+  retry_limits_hold_back (&dispatch.retries, host_now_ms (h));
   h->catalog = current_catalog_new (h);
   host_make_quarantine (h);
   host_make_streams (h);
--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -44,7 +44,10 @@
                               .retries = { RATIO, WINDOW_MS, ALLOWANCE },
                               .policy = "least" };
   static const char *const SERVERS[] = { "server-0", "server-1", "server-2" };
-  Dispatch *d = dispatch_new (f, &options);
+  Dispatch *d;
+
+  retry_limits_hold_back (&options.retries, (int64_t)slice * SLICE_MS);
+  d = dispatch_new (f, &options);
 
   for (size_t k = 0; k < sizeof SERVERS / sizeof SERVERS[0]; k++)
     {
@@ -355,6 +358,22 @@
   for_each_fleet (kill_single_hosts);
 }
 
+/* Guards against hosts that send nothing again for good after a start, and against ones that do within the window. */
+static void
+new_process_sends_again_once_a_window_has_passed (void)
+{
+  Fleet *f = fleet_new (5);
+  int first = 0;
+
+  start_hosts (f, 0, f->n);
+  tell_hosts (f, 0, f->n, f->n, 0);
+  for (; first < RUN_SLICES && f->retries[first > 0 ? first - 1 : 0] == 0; first++)
+    run (f, first, first + 1, 200);
+  CU_ASSERT (first > WINDOW_SLICES);
+  CU_ASSERT (first < WINDOW_SLICES + 10);
+  talloc_free (f);
+}
+
 /* @return how many requests the host may send again to the fixture's service; uses them up. */
 static int
 take_retries (RelayFixture *f)
@@ -446,6 +465,8 @@
       retries_stay_within_the_limit_after_a_common_restart },
     { "retries_of_all_lives_in_a_window_stay_within_the_limit",
       retries_of_all_lives_in_a_window_stay_within_the_limit },
+    { "new_process_sends_again_once_a_window_has_passed",
+      new_process_sends_again_once_a_window_has_passed },
   };
 
   return harness_run ("retry_budget", CASES, sizeof CASES / sizeof CASES[0]);
