dispatch: a server without a row is the last choice at the end of its grace, and none after it

Cause: 190 ms lie between the end of the grace in the worst case (2,809 ms) and 3,000 ms, less than a loop on a busy machine may be late. Found beside it by reading: after its grace and until the next tick a server was still chosen if all others were in backoff.

Change: in the last 500 ms a server without a row serves only what no other usable one can, and it is not chosen after its grace.

Tests, both failed before: server_without_a_row_is_the_last_choice_before_its_grace_ends, server_whose_grace_has_ended_gets_no_requests.

--- a/src/dispatch/cost.c
+++ b/src/dispatch/cost.c
@@ -46,8 +46,9 @@
       const Server *s = LIST_ENTRY (node, Server, node);
       uint64_t score = XXH64 (&s->hash, sizeof s->hash, q->parts[n - 1].id);
 
-      if (!server_is_usable (s, q->now_ms) || !server_has_version (s, q->version, q->allowed)
-          || s->limit.requests_per_s > 0 || (affinity && score <= best))
+      if (server_standing (s, q->now_ms) != SERVER_PREFERRED
+          || !server_has_version (s, q->version, q->allowed) || s->limit.requests_per_s > 0
+          || (affinity && score <= best))
         continue;
       affinity = s;
       best = score;
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -69,6 +69,9 @@
   double cost;
   Server *second;
   double second_cost;
+  Server *fallback; /* if there is no best */
+  ServerStanding fallback_standing;
+  double fallback_cost;
   const Server *affinity;
   int eligible; /* of the version, not draining and not tried; includes at_limit, paused and those in backoff */
   int at_limit;            /* have as many requests of this host as its share of the connections */
@@ -95,6 +98,18 @@
     }
 }
 
+static void
+consider_fallback (Candidates *c, Server *s, ServerStanding standing, double cost)
+{
+  if (c->fallback
+      && (standing > c->fallback_standing
+          || (standing == c->fallback_standing && cost >= c->fallback_cost)))
+    return;
+  c->fallback = s;
+  c->fallback_standing = standing;
+  c->fallback_cost = cost;
+}
+
 /* Policy "two_choices": the best and second candidate were drawn at random; keeps the one with
  * fewer requests. */
 static void
@@ -124,21 +139,20 @@
   counter_add (d->limit_avoided, 1);
 }
 
-/* Servers in backoff after a failed connect are chosen only if there is no other. A usable server that is due to
- * show whether its limit is still in force goes first. */
+/* Servers in doubt, and then those in backoff after a failed connect, are chosen only if there is no other. A usable
+ * server that is due to show whether its limit is still in force goes first. */
 static Server *
 choose_server (Dispatch *d, const ServerPool *p, const DispatchQuery *q, Candidates *c)
 {
   const Server *affinity = cost_affinity_server (&p->servers, q);
-  Server *fallback = NULL;
   Server *due = NULL;
-  double fallback_cost = 0;
 
   c->affinity = affinity;
 
   for (ListNode *n = list_first (&p->servers); n; n = list_next (&p->servers, n))
     {
       Server *s = LIST_ENTRY (n, Server, node);
+      ServerStanding standing = server_standing (s, q->now_ms);
       LimitState limit;
       double cost;
 
@@ -155,31 +169,27 @@
           c->at_limit++;
           continue;
         }
+      if (standing == SERVER_EXCLUDED)
+        continue;
       limit = check_limit (d, s, q->now_ms);
       if (limit == LIMIT_REACHED)
         {
           count_limited (d, c, s);
           continue;
         }
-      if (limit == LIMIT_DUE && !q->is_retry && server_is_usable (s, q->now_ms))
+      if (limit == LIMIT_DUE && !q->is_retry && standing <= SERVER_DOUBTFUL)
         due = s;
       cost = policy_cost (d, p, s, q, affinity);
-      if (!server_is_usable (s, q->now_ms))
-        {
-          if (!fallback || cost < fallback_cost)
-            {
-              fallback = s;
-              fallback_cost = cost;
-            }
-          continue;
-        }
-      consider_candidate (c, s, cost);
+      if (standing == SERVER_PREFERRED)
+        consider_candidate (c, s, cost);
+      else
+        consider_fallback (c, s, standing, cost);
     }
   if (!strcmp (d->options.policy, "two_choices"))
     keep_less_loaded (c, q->now_ms);
   if (due)
     return due;
-  return c->best ? c->best : fallback;
+  return c->best ? c->best : c->fallback;
 }
 
 static AssignmentLimits
--- a/src/dispatch/server.c
+++ b/src/dispatch/server.c
@@ -13,6 +13,10 @@
 #define INITIAL_BACKOFF_MS 300
 #define MAX_BACKOFF_MS     2400
 
+/* At the end of the grace after an unconfirmed removal: longer than the way from the choice to the server may take, connect
+ * included. */
+#define DOUBT_MS 500
+
 /* Weight of one sample in the moving averages. */
 #define FAILURE_RATE_WEIGHT 0.15
 #define LATENCY_WEIGHT      0.15
@@ -125,11 +129,23 @@
   return !allowed || server_versions_contain (allowed, s->version);
 }
 
+ServerStanding
+server_standing (const Server *s, int64_t now_ms)
+{
+  bool no_row = s->removal_grace_until_ms > 0;
+
+  if (s->draining || s->removed || (no_row && now_ms >= s->removal_grace_until_ms)
+      || now_ms < s->pause_until_ms)
+    return SERVER_EXCLUDED;
+  if (now_ms < s->backoff_until_ms)
+    return SERVER_IN_BACKOFF;
+  if (no_row && now_ms >= s->removal_grace_until_ms - DOUBT_MS)
+    return SERVER_DOUBTFUL;
+  return SERVER_PREFERRED;
+}
+
 bool
 server_is_usable (const Server *s, int64_t now_ms)
 {
-  bool is_gone = s->removal_grace_until_ms > 0 && now_ms >= s->removal_grace_until_ms;
-
-  return !s->draining && !s->removed && !is_gone && now_ms >= s->backoff_until_ms
-         && now_ms >= s->pause_until_ms;
+  return server_standing (s, now_ms) <= SERVER_DOUBTFUL;
 }
--- a/src/dispatch/server.h
+++ b/src/dispatch/server.h
@@ -99,3 +99,15 @@
 
 /** @return whether the server may get new requests: neither draining nor removed, in backoff or paused. */
 bool server_is_usable (const Server *server, int64_t now_ms);
+
+/** In which order servers are chosen. */
+typedef enum
+{
+  SERVER_PREFERRED,
+  SERVER_DOUBTFUL, /* usable, but its row is gone and should be back by now if its owner still runs */
+  SERVER_IN_BACKOFF, /* a connect has failed lately */
+  SERVER_EXCLUDED    /* draining, removed or paused */
+} ServerStanding;
+
+/** @return SERVER_PREFERRED or SERVER_DOUBTFUL if it is usable. */
+ServerStanding server_standing (const Server *server, int64_t now_ms);
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -153,6 +153,72 @@
   dispatch_fixture_free (fx);
 }
 
+/* @return how many of 20 requests go to the server whose row was removed, of two; each of another session. */
+static int
+count_to_removed (DispatchFixture *fx)
+{
+  Err err = ERR_INIT;
+  int n = 0;
+
+  for (uint64_t session = 1; session <= 20; session++)
+    {
+      Assignment *a = pick (fx, 0, session, &err);
+
+      n += !strcmp (assignment_server (a), "server-0");
+      finish (fx, a, ASSIGNMENT_CANCELLED);
+    }
+  return n;
+}
+
+/* The other server is not used for a while. */
+static void
+make_other_unreachable (DispatchFixture *fx)
+{
+  Err err = ERR_INIT;
+  bool done = false;
+
+  for (uint64_t session = 1; !done && session < 100; session++)
+    {
+      Assignment *a = pick (fx, 0, session, &err);
+
+      done = !strcmp (assignment_server (a), "server-1");
+      finish (fx, a, done ? ASSIGNMENT_UNREACHABLE : ASSIGNMENT_COMPLETED);
+    }
+  CU_ASSERT (done);
+}
+
+/* Guards against requests that reach a removed server late because the way from the choice to the server takes long: a
+ * server whose owner should have written its row again by then serves only what no other can. */
+static void
+server_without_a_row_is_the_last_choice_before_its_grace_ends (void)
+{
+  DispatchFixture *fx = dispatch_fixture_new (1, 2, "cost");
+
+  dispatch_fixture_remove (fx, 0, false);
+  fx->now_ms += 1400;
+  CU_ASSERT (count_to_removed (fx) > 0);
+  fx->now_ms += 200;
+  CU_ASSERT_EQUAL (count_to_removed (fx), 0);
+  make_other_unreachable (fx);
+  CU_ASSERT_EQUAL (count_to_removed (fx), 20);
+  dispatch_fixture_free (fx);
+}
+
+/* Guards against a removed server that is chosen after its grace, between two ticks, because no other is usable. */
+static void
+server_whose_grace_has_ended_gets_no_requests (void)
+{
+  DispatchFixture *fx = dispatch_fixture_new (1, 2, "cost");
+
+  CU_ASSERT (count_to_removed (fx) > 0);
+  dispatch_fixture_remove (fx, 0, false);
+  fx->now_ms += 1990;
+  make_other_unreachable (fx);
+  fx->now_ms += 10;
+  CU_ASSERT_EQUAL (count_to_removed (fx), 0);
+  dispatch_fixture_free (fx);
+}
+
 /* Guards against a server that fails requests although its health checks pass. */
 static void
 failing_servers_get_fewer_requests (void)
@@ -480,6 +546,10 @@
     { "draining_and_removed_servers_get_no_requests",
       draining_and_removed_servers_get_no_requests },
     { "unconfirmed_removal_has_grace_period", unconfirmed_removal_has_grace_period },
+    { "server_without_a_row_is_the_last_choice_before_its_grace_ends",
+      server_without_a_row_is_the_last_choice_before_its_grace_ends },
+    { "server_whose_grace_has_ended_gets_no_requests",
+      server_whose_grace_has_ended_gets_no_requests },
     { "draining_outlasts_removal_of_record", draining_outlasts_removal_of_record },
     { "older_instance_does_not_replace_newer", older_instance_does_not_replace_newer },
     { "draining_is_reported_to_hosts_once", draining_is_reported_to_hosts_once },
