peer: replace a connection whose peer has not been heard from

Cause: a connection between hosts carries bytes in one direction only, so that its sender has no sign but the kernel's. Change: messages of the same peer on its own connection count as a sign of life; a connection that is to be used after 15 s without one is replaced first. An answer on the way back of older builds would not be understood, so there is none. Cost: a peer that only listens is connected to anew every 15 s, some 20 bytes a second.

Tests: connection_that_is_silent_behind_a_proxy_is_replaced (failed without the change: nothing arrives in 60 s), connection_to_a_peer_that_is_heard_stays.

--- a/src/peer/peer_connection.c
+++ b/src/peer/peer_connection.c
@@ -30,6 +30,8 @@
   Timer *timer; /* connect timeout or end of the backoff */
   unsigned failures;
   int64_t last_queued_us;
+  int64_t
+      sign_of_life_us; /* the connection was established, or a message of the peer arrived on another one */
   SendQueue queue;
 };
 
@@ -138,6 +140,7 @@
   peer_stats_connect (&conn->shared->stats, 1);
   conn->failures = 0;
   conn->state = CONNECTION_ESTABLISHED;
+  conn->sign_of_life_us = loop_monotonic_us ();
   send_queued (conn);
 }
 
@@ -246,10 +249,29 @@
     start_connect (conn);
 }
 
+void
+peer_connection_heard (PeerConnection *conn)
+{
+  conn->sign_of_life_us = loop_monotonic_us ();
+}
+
+/* Bytes that a proxy on the way has acknowledged and does not pass on look delivered to the kernel. What was sent is still
+ * delivered if the connection is sound. */
+static void
+close_if_unheard (PeerConnection *conn)
+{
+  int64_t limit_us = conn->shared->options.unheard_limit_ms * 1000;
+
+  if (conn->state == CONNECTION_ESTABLISHED
+      && loop_monotonic_us () - conn->sign_of_life_us > limit_us)
+    close_connection (conn);
+}
+
 void
 peer_connection_send (PeerConnection *conn, uint8_t *frame, size_t len,
                       Pond__Envelope__BodyCase kind)
 {
+  close_if_unheard (conn);
   send_queue_push (&conn->queue, conn, frame, len, kind);
   conn->last_queued_us = loop_monotonic_us ();
   if (conn->state == CONNECTION_ESTABLISHED)
--- a/src/peer/peer_connection.h
+++ b/src/peer/peer_connection.h
@@ -39,6 +39,9 @@
 void peer_connection_send (PeerConnection *conn, uint8_t *frame, size_t len,
                            Pond__Envelope__BodyCase kind);
 
+/** A message of the peer has arrived. */
+void peer_connection_heard (PeerConnection *conn);
+
 /** Closes the connection if its queue is empty and no frame was queued since @p before_us, a time of
  * loop_monotonic_us(). */
 void peer_connection_close_idle (PeerConnection *conn, int64_t before_us);
--- a/src/peer/peer_options.h
+++ b/src/peer/peer_options.h
@@ -19,6 +19,8 @@
   int64_t backoff_min_ms;
   int64_t backoff_max_ms;
   int64_t outgoing_idle_timeout_ms; /* limit of the time without a new message to the peer */
+  /* A connection is replaced if nothing was heard from its peer, on any connection, for this long. */
+  int64_t unheard_limit_ms;
   int64_t incoming_idle_timeout_ms; /* limit of the time without a byte from the peer */
 } PeerTcpOptions;
 
@@ -30,5 +32,6 @@
     .name = "", .listen = "127.0.0.1:0", .seed = 1, .max_frame_bytes = 1 << 20,                    \
     .max_queue_bytes = 2 << 20, .max_total_queue_bytes = 32 << 20,                                 \
     .max_incoming_connections = 2048, .connect_timeout_ms = 2000, .backoff_min_ms = 100,           \
-    .backoff_max_ms = 2000, .outgoing_idle_timeout_ms = 120000, .incoming_idle_timeout_ms = 400000 \
+    .backoff_max_ms = 2000, .outgoing_idle_timeout_ms = 120000, .unheard_limit_ms = 15000,         \
+    .incoming_idle_timeout_ms = 400000                                                             \
   }
--- a/src/peer/peer_tcp.c
+++ b/src/peer/peer_tcp.c
@@ -67,11 +67,14 @@
 on_envelope (void *data, const Pond__Envelope *env, size_t bytes)
 {
   PeerTcp *p = data;
+  PeerConnection *conn = g_hash_table_lookup (p->connections, env->from);
 
+  if (conn)
+    peer_connection_heard (conn);
   peer_stats_received (&p->shared.stats, env->body_case, bytes);
   if (strcmp (env->to, p->host_name) != 0)
     peer_stats_dropped (&p->shared.stats, PEER_DROP_MISDIRECTED);
-  else if (!g_hash_table_contains (p->connections, env->from))
+  else if (!conn)
     peer_stats_dropped (&p->shared.stats, PEER_DROP_UNKNOWN_SENDER);
   else if (!peer_message_is_valid (env))
     peer_stats_dropped (&p->shared.stats, PEER_DROP_OUT_OF_RANGE);
--- a/tests/unit/test_peer.c
+++ b/tests/unit/test_peer.c
@@ -416,6 +416,97 @@
   fixture_free (f);
 }
 
+/* A proxy on the way to b whose kernel acknowledges everything. Of its first connection it passes nothing on. */
+typedef struct
+{
+  int fd;
+  uint16_t port;
+  int n_connections;
+  int in; /* the newest connection */
+  int out;
+} Proxy;
+
+static void
+pass_bytes (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *data)
+{
+  const Proxy *p = data;
+  char bytes[4096];
+  ssize_t n = recv (p->in, bytes, sizeof bytes, MSG_DONTWAIT);
+
+  (void)ev, (void)flags;
+  if (n <= 0)
+    {
+      tevent_fd_set_flags (fde, 0);
+      return;
+    }
+  CU_ASSERT_EQUAL (send (p->out, bytes, (size_t)n, 0), n);
+}
+
+static void
+accept_connection (PeerFixture *f, Proxy *p)
+{
+  int fd = accept (p->fd, NULL, NULL);
+
+  if (fd < 0)
+    return;
+  p->n_connections++;
+  if (p->n_connections == 1)
+    return;
+  p->in = fd;
+  p->out = open_raw_connection (f);
+  tevent_add_fd (loop_tevent (f->loop), f->ctx, fd, TEVENT_FD_READ, pass_bytes, p);
+}
+
+static void
+proxy_open (Proxy *p)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t len = sizeof address;
+
+  p->fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  inet_pton (AF_INET, loopback_ip, &address.sin_addr);
+  CU_ASSERT_EQUAL (bind (p->fd, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_EQUAL (listen (p->fd, 8), 0);
+  CU_ASSERT_EQUAL (getsockname (p->fd, (struct sockaddr *)&address, &len), 0);
+  p->port = ntohs (address.sin_port);
+}
+
+/* Guards against messages that are lost for as long as a connection seems alive to the kernel only. */
+static void
+connection_that_is_silent_behind_a_proxy_is_replaced (void)
+{
+  PeerTcpOptions options = DEFAULTS;
+  PeerFixture *f;
+  Proxy p = { 0 };
+
+  options.unheard_limit_ms = 300;
+  f = fixture_new (&options);
+  proxy_open (&p);
+  set_peer_address (f, f->a, "b", p.port);
+  WAIT_FOR (f,
+            (send_balance_ask (f->a, "b", 1, "b"), accept_connection (f, &p), f->n_received > 0));
+  CU_ASSERT_EQUAL (p.n_connections, 2);
+  fixture_free (f);
+  close (p.fd);
+}
+
+/* Guards against a connection that is replaced although its peer has been heard from. */
+static void
+connection_to_a_peer_that_is_heard_stays (void)
+{
+  PeerTcpOptions options = DEFAULTS;
+  PeerFixture *f;
+  int64_t stop_us = loop_monotonic_us () + 1000000;
+
+  options.unheard_limit_ms = 300;
+  f = fixture_new (&options);
+  WAIT_FOR (f, (send_balance_ask (f->a, "b", 1, "b"), send_balance_ask (f->b, "a", 1, "a"),
+                loop_monotonic_us () > stop_us));
+  CU_ASSERT_EQUAL (peer_tcp_stats (f->a)->connects, 1);
+  CU_ASSERT_EQUAL (peer_tcp_stats (f->b)->connects, 1);
+  fixture_free (f);
+}
+
 /* Guards against an address change after which the old connection stays in use. */
 static void
 address_change_moves_the_connection (void)
@@ -554,6 +645,9 @@
       messages_with_numbers_beyond_their_range_are_dropped },
     { "unknown_senders_and_misdirected_messages_are_dropped",
       unknown_senders_and_misdirected_messages_are_dropped },
+    { "connection_that_is_silent_behind_a_proxy_is_replaced",
+      connection_that_is_silent_behind_a_proxy_is_replaced },
+    { "connection_to_a_peer_that_is_heard_stays", connection_to_a_peer_that_is_heard_stays },
     { "connection_recovers_after_peer_restart", connection_recovers_after_peer_restart },
     { "address_change_moves_the_connection", address_change_moves_the_connection },
     { "full_queues_drop_the_oldest", full_queues_drop_the_oldest },
