http: keep a request's body once, within a quota of memory

Cause: each body is kept twice while its server works (the server's buffer and libcurl's copy), and nothing limits the sum.

Change: an exchange references the body instead of copying it. A body may take a quarter of what is free, or 64 KB, so that small requests go on. What finds no room is refused with 503 and Retry-After: at once if the client waits for "100 Continue"; else its body is read and thrown away first, because a client that is still sending would lose the response with the connection. buffer_quota moved from relay/ to core/.

--- a/src/backend/backend_http.c
+++ b/src/backend/backend_http.c
@@ -156,6 +156,7 @@
           .headers = r->headers,
           .n_headers = r->n_headers,
           .body = r->body,
+          .body_owner = r->body_owner,
           .body_len = r->body_len,
           .connect_timeout_ms = b->options.connect_timeout_ms,
           .timeout_ms = r->timeout_ms,
--- a/src/relay/buffer_quota.c
+++ b/src/core/buffer_quota.c
@@ -1,6 +1,6 @@
-#include "relay/buffer_quota.h"
+#include "core/buffer_quota.h"
 
-/* One response may use at most the free bytes divided by this, which leaves room for others. */
+/* One body may use at most the free bytes divided by this, which leaves room for others. */
 #define FREE_BYTES_DIVISOR 4
 
 bool
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -11,6 +11,9 @@
 #include "entry/frontend_call.h"
 #include "http/server.h"
 
+/* Parts of the host's memory for the bodies of requests that it keeps at once. */
+#define BODY_MEMORY_SHARE 0.3
+
 /* Limit for all responses that a host buffers at once: a fifth of the memory of the smallest
  * hosts. */
 #define MAX_BUFFERED_RESPONSE_BYTES ((size_t)32 << 20)
@@ -19,6 +22,7 @@
 {
   FrontendShared shared;
   BufferQuota response_quota;
+  BufferQuota body_quota;
   Loop *loop;
   HttpClient *client;
   HttpServer *server;
@@ -50,6 +54,7 @@
   HttpServerOptions server = { .listen = listen,
                                .max_body_bytes = o->max_body_bytes,
                                .max_header_bytes = o->max_header_bytes,
+                               .body_quota = &w->body_quota,
                                .read_timeout_ms = o->read_timeout_ms,
                                .idle_timeout_ms = o->idle_timeout_ms,
                                .max_connections = o->max_connections / o->workers + 1,
@@ -61,6 +66,7 @@
   w->client = http_client_new (w, w->loop);
   backend.client = w->client;
   w->response_quota.limit_bytes = MAX_BUFFERED_RESPONSE_BYTES / o->workers;
+  w->body_quota.limit_bytes = (size_t)(BODY_MEMORY_SHARE * (double)o->memory_bytes) / o->workers;
   w->shared.catalog = o->catalog;
   w->shared.deps = (RelayDeps){ .timers = loop_timers (w->loop),
                                 .executor = loop_executor (w->loop),
--- a/src/entry/frontend.h
+++ b/src/entry/frontend.h
@@ -14,6 +14,7 @@
   const char *listen;       /* "IP:port" */
   unsigned workers;         /* a single one runs on the control loop */
   unsigned max_connections; /* of all workers together */
+  size_t memory_bytes;      /* that this process may use */
   size_t max_header_bytes;
   size_t max_body_bytes;
   int64_t read_timeout_ms;
--- a/src/entry/frontend_call.c
+++ b/src/entry/frontend_call.c
@@ -78,6 +78,9 @@
 static const RelayClientOps CLIENT_OPS
     = { respond, begin_response, write_bytes, end_response, abort_response, on_relay_released };
 
+/* Retry-After of a request whose body finds no room. */
+#define NO_ROOM_RETRY_MS 1000
+
 /* --- Requests ---------------------------------------------------------------------------- */
 
 static bool
@@ -89,6 +92,9 @@
       return err_set (err, ERR_BODY_TOO_LARGE, "the body is too large");
     case HTTP_FAULT_HEADERS_TOO_LARGE:
       return err_set (err, ERR_HEADERS_TOO_LARGE, "the headers are too large");
+    case HTTP_FAULT_NO_ROOM:
+      err->retry_after_ms = NO_ROOM_RETRY_MS;
+      return err_set (err, ERR_OVERLOADED, "other requests' bodies use up the memory for them");
     case HTTP_FAULT_FRAMING:
       return err_set (err, ERR_BAD_REQUEST, "the end of the body is ambiguous");
     case HTTP_FAULT_NONE:
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -149,6 +149,7 @@
   FrontendOptions options = { .listen = s->listen_clients,
                               .workers = (unsigned)s->threads,
                               .max_connections = (unsigned)s->max_streams,
+                              .memory_bytes = (size_t)s->memory_bytes,
                               .max_header_bytes = (size_t)s->max_header_bytes,
                               .max_body_bytes = (size_t)s->max_body_bytes,
                               .read_timeout_ms = s->request_read_timeout_ms,
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -79,8 +79,19 @@
 void
 http_call_free_body (HttpCall *call)
 {
-  TALLOC_FREE (call->body);
+  if (call->body)
+    talloc_unlink (call, call->body);
+  call->body = NULL;
   call->body_len = 0;
+  if (call->server->body_quota)
+    buffer_quota_release (call->server->body_quota, call->body_quota_bytes);
+  call->body_quota_bytes = 0;
+}
+
+void *
+http_call_body_owner (const HttpCall *call)
+{
+  return call->body;
 }
 
 int64_t
@@ -286,5 +297,6 @@
 {
   if (call->response)
     MHD_destroy_response (call->response);
+  http_call_free_body (call);
   talloc_free (call);
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -55,7 +55,9 @@
   const char *url;
   const char *const *headers; /* "Name: value" */
   size_t n_headers;
-  const char *body; /* copied */
+  const char *body;
+  void *
+      body_owner; /* talloc object that holds the body, which is referenced; NULL: the body is copied */
   size_t body_len;
   int64_t connect_timeout_ms;
   /** Limit of the time from the start of the request to the end of the response; connecting has its own limit before
--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -22,7 +22,8 @@
   struct curl_slist *headers;
   const HttpEvents *events;
   void *data;
-  char *body;
+  const char *body;
+  void *body_owner; /* a child, or referenced */
   size_t body_len;
   bool is_control;
   bool is_head;
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -152,6 +152,13 @@
   x->time_limit = timers_start (loop_timers (x->client->loop), x, ms, on_time_limit, x);
 }
 
+static void
+release_body (HttpExchange *x)
+{
+  talloc_unlink (x, x->body_owner);
+  x->body = NULL;
+}
+
 static void
 report_headers (HttpExchange *x)
 {
@@ -163,7 +170,7 @@
   /* A long streamed response would otherwise keep its request body until it ends. */
   curl_easy_getinfo (x->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
   if (x->body && (size_t)uploaded >= x->body_len)
-    TALLOC_FREE (x->body);
+    release_body (x);
   if (x->events->headers)
     x->events->headers (x->data, x, http_exchange_status (x));
 }
@@ -467,6 +474,18 @@
     }
 }
 
+static void
+keep_body (HttpExchange *x, const HttpRequest *request)
+{
+  x->body = request->body;
+  x->body_len = request->body_len;
+  if (request->body_owner)
+    x->body_owner = talloc_reference (x, request->body_owner);
+  else
+    x->body = x->body_owner
+        = talloc_memdup (x, request->body, request->body_len ? request->body_len : 1);
+}
+
 HttpExchange *
 http_client_start (HttpClient *client, const void *ctx, const HttpRequest *request,
                    const HttpEvents *events, void *data)
@@ -491,8 +510,7 @@
     }
   if (request->body)
     {
-      x->body = talloc_memdup (x, request->body, request->body_len ? request->body_len : 1);
-      x->body_len = request->body_len;
+      keep_body (x, request);
     }
   for (size_t i = 0; i < request->n_headers; i++)
     {
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -354,6 +354,7 @@
   server->data = options->data;
   server->max_body_bytes = options->max_body_bytes;
   server->max_header_bytes = options->max_header_bytes;
+  server->body_quota = options->body_quota;
   server->max_connections = options->max_connections;
   http_server_set_timeouts (server, options->read_timeout_ms, options->idle_timeout_ms);
   server->timeout_body
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -8,6 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/buffer_quota.h"
 #include "core/loop.h"
 
 typedef struct HttpServer HttpServer;
@@ -18,7 +19,8 @@
   HTTP_FAULT_NONE,
   HTTP_FAULT_BODY_TOO_LARGE,
   HTTP_FAULT_HEADERS_TOO_LARGE,
-  HTTP_FAULT_FRAMING /* ambiguous body length; the connection is closed after the response */
+  HTTP_FAULT_NO_ROOM, /* the bodies of other requests use up the memory for them */
+  HTTP_FAULT_FRAMING  /* ambiguous body length; the connection is closed after the response */
 } HttpFault;
 
 typedef struct
@@ -41,6 +43,8 @@
   const char *listen; /* "IP:port", port 0 for an ephemeral one */
   size_t max_body_bytes;
   size_t max_header_bytes;
+  BufferQuota
+      *body_quota; /* for the bodies of all requests, must outlive the server; NULL: no limit */
   int64_t read_timeout_ms; /* limit from the request line to the end of the request */
   /** Limit for a connection until the headers of its next request have arrived; 0 for
    * read_timeout_ms. */
@@ -85,6 +89,10 @@
 
 /** @return the NUL-terminated body, valid until http_call_free_body() or closed. */
 const char *http_call_body (const HttpCall *call, size_t *len);
+
+/** @return the talloc object that holds the body, or NULL. Who references it keeps the body for longer. */
+void *http_call_body_owner (const HttpCall *call);
+
 void http_call_free_body (HttpCall *call);
 
 /** @return the monotonic time in microseconds at which the request line had been read. */
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -20,6 +20,7 @@
   struct MHD_Daemon *daemon;
   size_t max_body_bytes;
   size_t max_header_bytes;
+  BufferQuota *body_quota;
   int64_t read_timeout_ms;
   int64_t idle_timeout_ms;
   char *timeout_body;
@@ -61,6 +62,7 @@
   int64_t started_ms;
   char *body;
   size_t body_len;
+  size_t body_quota_bytes; /* acquired for it */
   HttpFault fault;
   int n_spared;   /* sweeps that found it late, but with bytes that were not read */
   bool delivered; /* the request event was reported */
--- a/src/http/server_request.c
+++ b/src/http/server_request.c
@@ -72,6 +72,36 @@
   return f.malformed || f.n_content_lengths + f.n_transfer_encodings > 1;
 }
 
+/* @return false, with the call's fault set, if the body would have more bytes than there is room for. */
+static bool
+acquire_body (HttpCall *call, size_t bytes)
+{
+  size_t more = bytes > call->body_quota_bytes ? bytes - call->body_quota_bytes : 0;
+
+  if (call->server->body_quota
+      && !buffer_quota_acquire (call->server->body_quota, call->body_quota_bytes, more))
+    {
+      call->fault = HTTP_FAULT_NO_ROOM;
+      http_call_free_body (call);
+      counter_add (counter_get ("pond_request_bodies_refused_total", "",
+                                "Requests refused because other bodies used up the memory."),
+                   1);
+      return false;
+    }
+  call->body_quota_bytes += more;
+  return true;
+}
+
+/* A client that waits for "100 Continue" has not sent the body, so that it can be told at once. Any other may be told
+ * only when it has sent all: the connection's end would cost it the response. */
+static bool
+client_waits_to_send (const HttpCall *call)
+{
+  const char *expect = http_call_header (call, "Expect");
+
+  return expect && !strcasecmp (expect, "100-continue");
+}
+
 /* Sets the call's fault if the headers have one. @return false if the body must not be read. */
 static bool
 check_request_head (HttpCall *call)
@@ -91,6 +121,8 @@
     call->fault = HTTP_FAULT_HEADERS_TOO_LARGE;
   else if (n > call->server->max_body_bytes)
     call->fault = HTTP_FAULT_BODY_TOO_LARGE;
+  else if (!acquire_body (call, n))
+    return !client_waits_to_send (call);
   return n <= call->server->max_body_bytes * MAX_DISCARD_FACTOR;
 }
 
@@ -140,6 +172,8 @@
       http_call_free_body (call);
       return;
     }
+  if (call->body_len + len > call->body_quota_bytes && !acquire_body (call, call->body_len + len))
+    return;
   call->body = talloc_realloc_size (call, call->body, call->body_len + len + 1);
   memcpy (call->body + call->body_len, bytes, len);
   call->body_len += len;
--- a/src/native/native_dialect.c
+++ b/src/native/native_dialect.c
@@ -149,6 +149,7 @@
   q->max_attempts = q->repeatable ? 2 : 1;
   q->prompt_tokens = q->route ? q->route->price : 0;
   q->body = http_call_body (call, &q->body_len);
+  q->body_owner = http_call_body_owner (call);
   http_call_each_header (call, forward_header, q);
   return true;
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -8,7 +8,7 @@
 #include "core/timers.h"
 #include "dispatch/dispatch.h"
 #include "quarantine/quarantine.h"
-#include "relay/buffer_quota.h"
+#include "core/buffer_quota.h"
 #include "relay/dialect.h"
 #include "relay/relay_request.h"
 #include "streams/streams.h"
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -56,6 +56,7 @@
                              .method = q->method,
                              .target = q->target,
                              .body = q->body,
+                             .body_owner = q->body_owner,
                              .body_len = q->body_len,
                              .timeout_ms = send.time_left_ms + TIMEOUT_SLACK_MS,
                              .small_receive_buffer = q->kind == CALL_STREAM,
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -20,6 +20,7 @@
   const char *target; /* path and query, still percent-encoded */
   const char *host;   /* value of the Host header */
   const char *body;
+  void *body_owner; /* talloc object that holds it; NULL: it has to be copied for each attempt */
   size_t body_len;
   const RelayHeader *headers; /* forwarded to the server */
   size_t n_headers;
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -14,6 +14,9 @@
 static const char *const LOG_LEVELS[]
     = { "crit", "err", "warning", "notice", "info", "debug", NULL };
 
+/* Of the smallest hosts. */
+#define DEFAULT_MEMORY_MB 160
+
 static const Field HOST_FIELDS[] = {
   { .key = "name", .kind = FIELD_NAME, .required = true },
   { .key = "data_centre", .kind = FIELD_NAME, .required = true },
@@ -85,6 +88,7 @@
 
 static const Field LIMITS_FIELDS[] = {
   { .key = "max_body_bytes", .kind = FIELD_INTEGER, .min = 1024, .max = 1 << 30 },
+  { .key = "memory_mb", .kind = FIELD_INTEGER, .min = 64, .max = 1 << 20 },
   { .key = "max_header_bytes", .kind = FIELD_INTEGER, .min = 1024, .max = 1 << 20 },
   { .key = "request_read_timeout_ms", .kind = FIELD_INTEGER, .min = 100, .max = 600 * 1000 },
   { .key = "max_streams", .kind = FIELD_INTEGER, .min = 1, .max = 100 * 1000 },
@@ -158,6 +162,7 @@
 {
   s->max_body_bytes = toml_integer (t, "max_body_bytes", 4 << 20);
   s->max_header_bytes = toml_integer (t, "max_header_bytes", 32 << 10);
+  s->memory_bytes = toml_integer (t, "memory_mb", DEFAULT_MEMORY_MB) << 20;
   s->request_read_timeout_ms = toml_integer (t, "request_read_timeout_ms", 30 * 1000);
   s->max_streams = toml_integer (t, "max_streams", 4096);
   s->link_bytes_s = (int64_t)(toml_number (t, "link_mbit_s", 0) * 1e6 / 8);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -42,6 +42,7 @@
   bool charge_failed;     /* failed requests are charged too, if they may have run */
   int threads;            /* worker threads */
   int64_t max_body_bytes;
+  int64_t memory_bytes; /* that the process may use */
   int64_t max_header_bytes;
   int64_t request_read_timeout_ms; /* also the idle timeout of client connections */
   int64_t max_streams;             /* maximum number of client connections */
--- a/tests/unit/test_endless.c
+++ b/tests/unit/test_endless.c
@@ -16,7 +16,7 @@
 
 #include "backend/backend_http.h"
 #include "harness.h"
-#include "relay/buffer_quota.h"
+#include "core/buffer_quota.h"
 #include "relay/sse.h"
 
 #define N_REQUESTS      200
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -153,7 +153,8 @@
 every_setting_is_read (void)
 {
   static const char TEXT[]
-      = BASE "[workers]\nthreads = 3\n[limits]\nmax_body_bytes = 2048\nmax_header_bytes = 2049\n"
+      = BASE "[workers]\nthreads = 3\n[limits]\nmax_body_bytes = 2048\nmax_header_bytes = "
+             "2049\nmemory_mb = 260\n"
              "request_read_timeout_ms = 200\nmax_streams = 5\n"
              "[drain]\ngrace_ms = 0\ndeadline_s = 5.5\n[log]\nlevel = \"debug\"\n"
              "[callers]\ninterface = \"platform\"\n[placing]\npolicy = \"least\"\n"
@@ -165,6 +166,7 @@
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
   if (!s) /* the analyser does not know that the check above ends the test */
     return;
+  CU_ASSERT_EQUAL (s->memory_bytes, (int64_t)260 << 20);
   CU_ASSERT (s->threads == 3 && s->max_body_bytes == 2048 && s->max_header_bytes == 2049);
   CU_ASSERT (s->request_read_timeout_ms == 200 && s->max_streams == 5);
   CU_ASSERT (s->drain_grace_ms == 0 && s->drain_deadline_ms == 5500);
