--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -20,8 +20,7 @@
   const char *const *headers; /* "Name: value" */
   size_t n_headers;
   const char *body;
-  void *
-      body_owner; /* talloc object that holds the body, which is referenced; NULL: the body is copied */
+  void *body_owner; /* talloc object with the body, is referenced; NULL: the body is copied */
   size_t body_len;
   int64_t timeout_ms;
   bool small_receive_buffer; /* for streams: keeps the memory of each one low */
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -11,7 +11,7 @@
 #include "entry/frontend_call.h"
 #include "http/server.h"
 
-/* Parts of the host's memory for the bodies of requests that it keeps at once. */
+/* Part of the host's memory for the bodies of requests that it keeps at once. */
 #define BODY_MEMORY_SHARE 0.3
 
 /* Limit for all responses that a host buffers at once: a fifth of the memory of the smallest
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -56,8 +56,7 @@
   const char *const *headers; /* "Name: value" */
   size_t n_headers;
   const char *body;
-  void *
-      body_owner; /* talloc object that holds the body, which is referenced; NULL: the body is copied */
+  void *body_owner; /* talloc object with the body, is referenced; NULL: the body is copied */
   size_t body_len;
   int64_t connect_timeout_ms;
   /** Limit of the time from the start of the request to the end of the response; connecting has its own limit before
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -509,9 +509,7 @@
       return NULL;
     }
   if (request->body)
-    {
-      keep_body (x, request);
-    }
+    keep_body (x, request);
   for (size_t i = 0; i < request->n_headers; i++)
     {
       x->headers = curl_slist_append (x->headers, request->headers[i]);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -43,8 +43,7 @@
   const char *listen; /* "IP:port", port 0 for an ephemeral one */
   size_t max_body_bytes;
   size_t max_header_bytes;
-  BufferQuota
-      *body_quota; /* for the bodies of all requests, must outlive the server; NULL: no limit */
+  BufferQuota *body_quota; /* of all requests; must outlive the server; NULL: no limit */
   int64_t read_timeout_ms; /* limit from the request line to the end of the request */
   /** Limit for a connection until the headers of its next request have arrived; 0 for
    * read_timeout_ms. */
