--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -5,6 +5,8 @@
  *   rig smuggle ...                  a client that hides a request in the body of another one
  *   rig book ...                     clients of a booking service, on kept connections
  *   rig slow ...                     clients that read their answers slowly
+ *   rig hold ...                     clients that keep a connection each and use it now and then
+ *   rig arrive ...                   clients that come with a new connection for each request
  *
  * Each option is a word with a value after it. All lines of one run go to the file of --log, each by one write(). */
 #include <arpa/inet.h>
@@ -12,6 +14,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -21,6 +24,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
@@ -618,6 +622,128 @@
   return NULL;
 }
 
+/* --- Many clients ------------------------------------------------------------------------ */
+
+/* Of a client that keeps its connection. */
+typedef struct
+{
+  double due_s; /* when it sends its next request */
+  bool waits;   /* for an answer */
+} Held;
+
+/* Opens so many connections, and sends a request on each every --every-ms. One request at a time on a connection; answers are short enough to
+ * come in one piece. */
+static int
+hold (int argc, char **argv)
+{
+  int n = (int)number (argc, argv, "--clients", 100);
+  int port = (int)number (argc, argv, "--port", 0);
+  double every_s = (double)number (argc, argv, "--every-ms", 10000) / 1000;
+  double until_s = now_s () + (double)number (argc, argv, "--for-ms", 10000) / 1000;
+  const char *key = option (argc, argv, "--key", "key-a");
+  const char *prefix = option (argc, argv, "--prefix", "k");
+  struct rlimit limit;
+  struct pollfd *fds = calloc ((size_t)n, sizeof *fds);
+  Held *held = calloc ((size_t)n, sizeof *held);
+  long sent = 0, answered = 0, ended = 0;
+  char bytes[8192];
+
+  getrlimit (RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit (RLIMIT_NOFILE, &limit);
+  for (int i = 0; i < n; i++)
+    {
+      /* The host's port may be closed for a moment while many come at once. */
+      for (int tries = 0; tries < 100 && (fds[i].fd = connect_to (port, 0)) < 0; tries++)
+        sleep_ms (20);
+      if (fds[i].fd < 0)
+        {
+          note ("hold cannot open connection %d errno=%d", i, errno);
+          return 2;
+        }
+      fds[i].events = POLLIN;
+      held[i].due_s = now_s () + every_s * ((double)i / n);
+      if (i % 50 == 49)
+        sleep_ms (20);
+    }
+  note ("hold has opened %d connections", n);
+  while (now_s () < until_s)
+    {
+      double now = now_s ();
+
+      for (int i = 0; i < n; i++)
+        if (fds[i].fd >= 0 && !held[i].waits && now >= held[i].due_s)
+          {
+            char id[NAME_BYTES], path[NAME_BYTES];
+            int len;
+
+            snprintf (id, sizeof id, "%s%d-%ld", prefix, i, sent);
+            snprintf (path, sizeof path, "/list/%d", i);
+            len = make_head (bytes, "GET", path, id, key, 5000, "", 0);
+            held[i].due_s = now + every_s;
+            held[i].waits = send_all (fds[i].fd, bytes, (size_t)len);
+            sent += held[i].waits;
+          }
+      if (poll (fds, (nfds_t)n, 20) <= 0)
+        continue;
+      for (int i = 0; i < n; i++)
+        {
+          ssize_t got;
+
+          if (fds[i].fd < 0 || !fds[i].revents)
+            continue;
+          got = recv (fds[i].fd, bytes, sizeof bytes, MSG_DONTWAIT);
+          if (got > 0)
+            {
+              answered += held[i].waits;
+              held[i].waits = false;
+              continue;
+            }
+          if (got < 0 && errno == EAGAIN)
+            continue;
+          ended++;
+          close (fds[i].fd);
+          fds[i].fd = -1;
+        }
+    }
+  note ("hold sent=%ld answered=%ld connections ended by the host=%ld", sent, answered, ended);
+  return 0;
+}
+
+/* A new connection for each request. A client allows a second for it to be opened, and abandons an attempt that was not answered after one
+ * more. */
+static void *
+arrive (void *data)
+{
+  long me = (long)(intptr_t)data;
+  Conn *c = calloc (1, sizeof *c);
+  struct timeval second = { 1, 0 };
+  char head[HEAD_BYTES], id[NAME_BYTES], path[NAME_BYTES];
+
+  for (int i = 0; now_s () < load.until_s; i++)
+    {
+      Answer a = { 0 };
+      int n;
+
+      snprintf (id, sizeof id, "%s%ld-%d", load.prefix, me, i);
+      snprintf (path, sizeof path, "/list/%ld", me);
+      n = make_head (head, "GET", path, id, load.key, load.deadline_ms, "", 0);
+      c->len = 0;
+      c->fd = connect_to (load.ports[0], 0);
+      note ("sent id=%s connected=%d", id, c->fd >= 0);
+      if (c->fd >= 0)
+        {
+          setsockopt (c->fd, SOL_SOCKET, SO_RCVTIMEO, &second, sizeof second);
+          if (send_all (c->fd, head, (size_t)n))
+            a = read_answer (c, 0, 0);
+          close (c->fd);
+        }
+      note ("answered id=%s status=%d whole=%d bytes=%zu", id, a.status, a.is_whole, a.received);
+      sleep_ms (100);
+    }
+  return NULL;
+}
+
 static int
 run_clients (int argc, char **argv, void *(*fn) (void *))
 {
@@ -661,8 +787,12 @@
     return smuggle (argc, argv);
   if (!strcmp (what, "book"))
     return run_clients (argc, argv, book_on_connection);
+  if (!strcmp (what, "hold"))
+    return hold (argc, argv);
+  if (!strcmp (what, "arrive"))
+    return run_clients (argc, argv, arrive);
   if (!strcmp (what, "slow"))
     return run_clients (argc, argv, read_slowly);
-  fprintf (stderr, "usage: rig ports|worker|smuggle|book|slow ...\n");
+  fprintf (stderr, "usage: rig ports|worker|smuggle|book|slow|hold|arrive ...\n");
   return 2;
 }
