--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -745,7 +745,7 @@
   int n = (int)number (argc, argv, "--clients", 100);
   int port = (int)number (argc, argv, "--port", 0);
   double every_s = (double)number (argc, argv, "--every-ms", 10000) / 1000;
-  double until_s = now_s () + (double)number (argc, argv, "--for-ms", 10000) / 1000;
+  double until_s;
   const char *key = option (argc, argv, "--key", "key-a");
   const char *prefix = option (argc, argv, "--prefix", "k");
   struct rlimit limit;
@@ -770,9 +770,10 @@
       fds[i].events = POLLIN;
       held[i].due_s = now_s () + every_s * ((double)i / n);
       if (i % 50 == 49)
-        sleep_ms (20);
+        sleep_ms (40);
     }
   note ("hold has opened %d connections", n);
+  until_s = now_s () + (double)number (argc, argv, "--for-ms", 10000) / 1000;
   while (now_s () < until_s)
     {
       double now = now_s ();
