http: heads and answers in memory that grows, with libhttp-parser

Cause: libmicrohttpd keeps the head, some 64 bytes for each of its lines, the answer's head and the buffers in one block of a size that is set for all connections (33,792 bytes). We counted the bytes of the lines alone; an answer that does not fit ends the connection. Ruled out: the limit of bytes (18 lines of the same size are answered), the server's side and the relay (they deliver the answer).

Change: libhttp-parser reads requests; connection.c reads and writes sockets on tevent; heads and answers lie in memory that is freed with the answer. Faults are still decided in call_request.c.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Builds sapphirepond, its tests and stand-ins. "make help" lists the targets.
 
-PKGS := talloc tevent libprotobuf-c libmicrohttpd libcurl glib-2.0 jansson libxxhash libcrypto
+PKGS := talloc tevent libprotobuf-c libcurl glib-2.0 jansson libxxhash libcrypto
 VARIANT ?= release
 BUILD := build/$(VARIANT)
 
@@ -15,7 +15,7 @@
 CFLAGS := -std=c11 -g -pthread $(SAN) $(WARN)
 CXXFLAGS := -std=c++17 -g -pthread $(SAN) -Wall -Wextra -fno-exceptions
 LDFLAGS := -pthread $(SAN)
-LDLIBS := $(shell pkg-config --libs $(PKGS)) -lm -lstdc++
+LDLIBS := $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm -lstdc++
 
 objects = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIB_SRC := $(filter-out src/cli/main.c,$(sort $(wildcard src/*/*.c platform/*.c)))
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 
-packages="gcc g++ make pkg-config curl jq libtalloc-dev libtevent-dev libprotobuf-c-dev libmicrohttpd-dev
+packages="gcc g++ make pkg-config curl jq libtalloc-dev libtevent-dev libprotobuf-c-dev libhttp-parser-dev
   libcurl4-openssl-dev libglib2.0-dev libcunit1-dev libjansson-dev libxxhash-dev libssl-dev libtomlplusplus-dev"
 missing=$(for p in $packages; do dpkg -s "$p" >/dev/null 2>&1 || echo "$p"; done)
 if [ -n "$missing" ]; then
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -1,18 +1,20 @@
 #include "http/server_impl.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
+#include <strings.h>
+#include <time.h>
 
 #include <talloc.h>
 
+#include "core/log.h"
 #include "http/traffic.h"
 
-/* High-water mark of the output buffer of a stream: a slow client must not fill this host's memory. */
+/* High-water mark of the output of a stream: a slow client must not fill this host's memory. */
 #define STREAM_HIGH_WATER_BYTES 8192
-/* libmicrohttpd allocates a block of this size for each streamed response, and uses it only for
- * HTTP/1.0 clients. */
-#define STREAM_BLOCK_BYTES      256
-/* A larger output buffer is freed as soon as it is empty. */
-#define MAX_IDLE_OUTPUT_BYTES   1024
+
+/* --- The request ------------------------------------------------------------------------- */
 
 void
 http_call_set_data (HttpCall *call, void *call_data)
@@ -35,38 +37,20 @@
 const char *
 http_call_target (const HttpCall *call)
 {
-  return call->target;
+  return request_head_target (&call->head);
 }
 
 const char *
 http_call_header (const HttpCall *call, const char *name)
 {
-  return MHD_lookup_connection_value (call->mhd, MHD_HEADER_KIND, name);
-}
-
-typedef struct
-{
-  void (*fn) (void *data, const char *name, const char *value);
-  void *data;
-} HeaderCallback;
-
-static enum MHD_Result
-on_header_value (void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
-{
-  HeaderCallback *callback = cls;
-
-  (void)kind;
-  callback->fn (callback->data, name, value ? value : "");
-  return MHD_YES;
+  return request_head_value (&call->head, name);
 }
 
 void
 http_call_each_header (const HttpCall *call,
                        void (*fn) (void *data, const char *name, const char *value), void *data)
 {
-  HeaderCallback callback = { fn, data };
-
-  MHD_get_connection_values (call->mhd, MHD_HEADER_KIND, on_header_value, &callback);
+  request_head_each (&call->head, fn, data);
 }
 
 const char *
@@ -106,111 +90,143 @@
   return call->started_ms;
 }
 
-void
-call_resume (HttpCall *call)
+/* --- The response ------------------------------------------------------------------------ */
+
+static void
+put (HttpCall *call, const char *bytes, size_t len)
 {
-  if (!call->suspended)
-    return;
-  call->suspended = false;
-  MHD_resume_connection (call->mhd);
-  server_schedule_run (call->server);
+  output_buffer_append (&call->connection->output, call->connection, bytes, len);
 }
 
 static void
-set_response (HttpCall *call, int status, struct MHD_Response *response, const HttpHeader *headers,
-              size_t n_headers)
+put_text (HttpCall *call, const char *text)
 {
-  size_t bytes = PACKET_OVERHEAD_BYTES;
+  put (call, text, strlen (text));
+}
 
-  for (size_t i = 0; i < n_headers; i++)
-    {
-      MHD_add_response_header (response, headers[i].name, headers[i].value);
-      bytes += strlen (headers[i].name) + strlen (headers[i].value) + 4;
-    }
-  traffic_sent (bytes);
-  if (call->server->close_after_response || call->fault == HTTP_FAULT_FRAMING)
-    MHD_add_response_header (response, "Connection", "close");
-  call->response = response;
-  call->status = status;
-  call_resume (call);
+static void
+put_line (HttpCall *call, const char *name, const char *value)
+{
+  put_text (call, name);
+  put_text (call, ": ");
+  put_text (call, value);
+  put_text (call, "\r\n");
 }
 
+/* Headers that say where a response ends, or how its connection goes on, are this server's. */
 static bool
-cannot_respond (const HttpCall *call)
+is_own_header (const char *name)
 {
-  return call->response || call->response_queued || call->aborted || call->client_gone;
+  return !strcasecmp (name, "Content-Length") || !strcasecmp (name, "Transfer-Encoding")
+         || !strcasecmp (name, "Connection") || !strcasecmp (name, "Date");
 }
 
-void
-http_call_respond (HttpCall *call, int status, const HttpHeader *headers, size_t n_headers,
-                   const char *body, size_t len)
+/* A line end in a header could begin another one, or a body. */
+static bool
+is_sound_header (const HttpHeader *header)
 {
-  if (cannot_respond (call))
-    return;
-  traffic_sent (len);
-  set_response (call, status,
-                MHD_create_response_from_buffer (len, (void *)body, MHD_RESPMEM_MUST_COPY), headers,
-                n_headers);
+  if (*header->name && !strpbrk (header->name, "\r\n \t:") && !strpbrk (header->value, "\r\n"))
+    return true;
+  log_event (LOG_LEVEL_WARNING, "http", "header_dropped", "name_bytes=%zu value_bytes=%zu",
+             strlen (header->name), strlen (header->value));
+  return false;
 }
 
 static void
-report_writable (struct tevent_context *ev, struct tevent_immediate *im, void *data)
+put_status_line (HttpCall *call, int status)
 {
-  HttpCall *call = data;
+  char line[80];
 
-  (void)ev;
-  (void)im;
-  if (!call->client_gone && !call->aborted)
-    call->server->events->writable (call->data, call);
+  snprintf (line, sizeof line, "HTTP/1.1 %03d %s\r\n", status,
+            http_status_str ((enum http_status)status));
+  put_text (call, line);
 }
 
-/* The writable event is reported from the loop, because its handler may write to the call, which must not
- * happen inside read_stream(). */
 static void
-schedule_writable (HttpCall *call)
+put_date (HttpCall *call)
 {
-  if (!call->write_blocked)
-    return;
-  call->write_blocked = false;
-  if (!call->writable_event)
-    call->writable_event = tevent_create_immediate (call);
-  tevent_schedule_immediate (call->writable_event, loop_tevent (call->server->loop),
-                             report_writable, call);
+  time_t now = time (NULL);
+  struct tm tm;
+  char text[40];
+
+  gmtime_r (&now, &tm);
+  strftime (text, sizeof text, "%a, %d %b %Y %H:%M:%S GMT", &tm);
+  put_line (call, "Date", text);
 }
 
-static ssize_t
-read_stream (void *cls, uint64_t pos, char *buf, size_t max)
+static void
+put_connection (HttpCall *call)
 {
-  HttpCall *call = cls;
-  size_t n = call->output_end - call->output_start;
-
-  (void)pos;
-  if (call->aborted && (n == 0 || call->client_gone))
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (n == 0 && call->ended)
-    return MHD_CONTENT_READER_END_OF_STREAM;
-  if (n == 0)
-    {
-      call->suspended = true;
-      MHD_suspend_connection (call->mhd);
-      return 0;
-    }
-  if (n > max)
-    n = max;
-  memcpy (buf, call->output + call->output_start, n);
-  call->output_start += n;
-  if (call->output_start == call->output_end)
+  if (!call->keep_alive || call->server->close_after_response)
+    put_line (call, "Connection", "close");
+  else if (!call->accepts_chunks)
+    put_line (call, "Connection", "Keep-Alive");
+}
+
+static void
+put_length (HttpCall *call, size_t len)
+{
+  char text[24];
+
+  snprintf (text, sizeof text, "%zu", len);
+  put_line (call, "Content-Length", text);
+}
+
+static bool
+may_have_body (int status)
+{
+  return status >= 200 && status != 204 && status != 304;
+}
+
+/* Without chunks the end of a streamed response is that of its connection. */
+static void
+choose_framing (HttpCall *call, int status, bool streamed)
+{
+  call->has_body = may_have_body (status) && strcmp (call->method, "HEAD") != 0;
+  call->is_chunked = streamed && call->accepts_chunks;
+  if (streamed && may_have_body (status) && !call->is_chunked)
+    call->keep_alive = false;
+}
+
+static void
+put_head (HttpCall *call, int status, const HttpHeader *headers, size_t n_headers)
+{
+  size_t before = output_buffer_len (&call->connection->output);
+
+  call->has_response = true;
+  put_status_line (call, status);
+  put_date (call);
+  for (size_t i = 0; i < n_headers; i++)
+    if (!is_own_header (headers[i].name) && is_sound_header (&headers[i]))
+      put_line (call, headers[i].name, headers[i].value);
+  put_connection (call);
+  traffic_sent (output_buffer_len (&call->connection->output) - before + PACKET_OVERHEAD_BYTES);
+}
+
+static bool
+cannot_respond (const HttpCall *call)
+{
+  return call->has_response || call->aborted || call->client_gone;
+}
+
+void
+http_call_respond (HttpCall *call, int status, const HttpHeader *headers, size_t n_headers,
+                   const char *body, size_t len)
+{
+  if (cannot_respond (call))
+    return;
+  choose_framing (call, status, false);
+  put_head (call, status, headers, n_headers);
+  if (may_have_body (status))
+    put_length (call, len);
+  put_text (call, "\r\n");
+  if (call->has_body)
     {
-      call->output_start = 0;
-      call->output_end = 0;
-      if (call->output_size > MAX_IDLE_OUTPUT_BYTES)
-        {
-          TALLOC_FREE (call->output);
-          call->output_size = 0;
-        }
-      schedule_writable (call);
+      put (call, body, len);
+      traffic_sent (len);
     }
-  return (ssize_t)n;
+  call->ended = true;
+  connection_schedule_progress (call->connection);
 }
 
 void
@@ -218,45 +234,39 @@
 {
   if (cannot_respond (call))
     return;
-  call->streaming = true;
-  set_response (call, status,
-                MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
-                                                   read_stream, call, NULL),
-                headers, n_headers);
+  choose_framing (call, status, true);
+  put_head (call, status, headers, n_headers);
+  if (call->is_chunked && may_have_body (status))
+    put_line (call, "Transfer-Encoding", "chunked");
+  put_text (call, "\r\n");
+  connection_schedule_progress (call->connection);
 }
 
 static void
-reserve_output (HttpCall *call, size_t len)
+put_chunk (HttpCall *call, const char *bytes, size_t len)
 {
-  size_t size = call->output_size ? call->output_size : 256;
+  char size[24];
 
-  if (call->output_start > 0)
-    {
-      memmove (call->output, call->output + call->output_start,
-               call->output_end - call->output_start);
-      call->output_end -= call->output_start;
-      call->output_start = 0;
-    }
-  while (size < call->output_end + len)
-    size *= 2;
-  if (size == call->output_size)
-    return;
-  call->output = talloc_realloc_size (call, call->output, size);
-  call->output_size = size;
+  snprintf (size, sizeof size, "%zx\r\n", len);
+  put_text (call, size);
+  put (call, bytes, len);
+  put_text (call, "\r\n");
 }
 
 bool
 http_call_write (HttpCall *call, const char *bytes, size_t len)
 {
-  if (!call->streaming || call->ended || call->aborted || call->client_gone)
+  if (!call->has_response || call->ended || call->aborted || call->client_gone)
+    return true;
+  if (!call->has_body || len == 0)
     return true;
-  if (call->output_end + len > call->output_size)
-    reserve_output (call, len);
-  memcpy (call->output + call->output_end, bytes, len);
-  call->output_end += len;
+  if (call->is_chunked)
+    put_chunk (call, bytes, len);
+  else
+    put (call, bytes, len);
   traffic_sent (len + PACKET_OVERHEAD_BYTES);
-  call_resume (call);
-  call->write_blocked = call->output_end - call->output_start >= STREAM_HIGH_WATER_BYTES;
+  connection_schedule_progress (call->connection);
+  call->write_blocked = output_buffer_len (&call->connection->output) >= STREAM_HIGH_WATER_BYTES;
   return !call->write_blocked;
 }
 
@@ -266,7 +276,9 @@
   if (call->ended || call->aborted)
     return;
   call->ended = true;
-  call_resume (call);
+  if (call->has_body && call->is_chunked)
+    put_text (call, "0\r\n\r\n");
+  connection_schedule_progress (call->connection);
 }
 
 void
@@ -275,28 +287,5 @@
   if (call->aborted)
     return;
   call->aborted = true;
-  call_resume (call);
-}
-
-enum MHD_Result
-call_queue_response (HttpCall *call)
-{
-  enum MHD_Result result;
-
-  if (!call->response || call->client_gone || (call->aborted && !call->streaming))
-    return MHD_NO;
-  call->response_queued = true;
-  result = MHD_queue_response (call->mhd, (unsigned)call->status, call->response);
-  MHD_destroy_response (call->response);
-  call->response = NULL;
-  return result;
-}
-
-void
-call_free (HttpCall *call)
-{
-  if (call->response)
-    MHD_destroy_response (call->response);
-  http_call_free_body (call);
-  talloc_free (call);
+  connection_schedule_progress (call->connection);
 }
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,12 +1,9 @@
 #include "http/server_impl.h"
 
-#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,81 +17,15 @@
  * bytes on the way must not hold its connection for ever, so that it is spared by so many sweeps. */
 #define MAX_SPARED_SWEEPS 2
 
-/* libmicrohttpd rejects headers that exceed its memory pool with an HTML page of its own. The pool is
- * larger than max_header_bytes, so that clients usually get this server's response. */
-#define POOL_EXTRA_BYTES 1024
+/* Time in which a client is to end a connection after its last response. */
+#define DRAIN_LIMIT_MS 2000
 
-/* Resuming a connection does not make libmicrohttpd's epoll descriptor readable. An immediate event
- * would cause one run per resumed connection, and each run walks all suspended ones: with 1000 streams
- * that took a fifth of the worker's time. The eventfd is handled after the sockets that are already
- * ready, so that one run serves all connections that they resumed. */
-void
-server_schedule_run (HttpServer *server)
-{
-  uint64_t one = 1;
-
-  if (server->run_scheduled)
-    return;
-  server->run_scheduled = true;
-  if (write (server->wake_fd, &one, sizeof one) < 0)
-    log_event (LOG_LEVEL_ERR, "http", "cannot_wake", "errno=%d", errno);
-}
-
-/* A streamed token takes three runs: libmicrohttpd fetches it, sends it and suspends the connection.
- * Other sockets are served after that. */
-#define MAX_CONSECUTIVE_RUNS 4
-
-static void
-run_daemon (HttpServer *server)
-{
-  MHD_UNSIGNED_LONG_LONG timeout = 1;
-
-  for (int i = 0; i < MAX_CONSECUTIVE_RUNS; i++)
-    {
-      MHD_run (server->daemon);
-      /* close_expired_connections() handles timeouts; only work that is ready now needs another run. */
-      if (MHD_get_timeout (server->daemon, &timeout) != MHD_YES || timeout > 0)
-        return;
-    }
-  server_schedule_run (server);
-}
-
-static void
-on_wake (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *data)
-{
-  HttpServer *server = data;
-  uint64_t n;
-
-  (void)ev;
-  (void)fde;
-  (void)flags;
-  if (read (server->wake_fd, &n, sizeof n) < 0)
-    return;
-  server->run_scheduled = false;
-  run_daemon (server);
-}
-
-static void
-on_daemon_ready (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *data)
-{
-  (void)ev;
-  (void)fde;
-  (void)flags;
-  run_daemon (data);
-}
+/* The library's own limit, in bytes, is for all servers of the process and must never apply: each server has its own
+ * (request_parser.c). */
+#define PARSER_MAX_HEAD_BYTES (UINT32_C (1) << 30)
 
 /* --- Connections ------------------------------------------------------------------------- */
 
-void
-call_client_gone (HttpCall *call)
-{
-  if (!call->delivered || call->client_gone)
-    return;
-  call->client_gone = true;
-  call->server->events->client_gone (call->data, call);
-  http_call_abort (call);
-}
-
 /* Takes one event at a time, because handling one may free the connection of another. */
 static void
 on_hangup (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags, void *data)
@@ -114,68 +45,11 @@
     }
 }
 
-/* Connections above the limit wait in the listen backlog until another one ends. */
-static void
-pause_listener_if_full (HttpServer *server)
-{
-  if (server->listener)
-    listener_pause (server->listener, server->n_connections >= server->max_connections);
-}
-
-/* libmicrohttpd closes a connection that it cannot add. */
 static void
 on_accepted (void *data, int fd, const Address *peer)
 {
-  HttpServer *server = data;
-
-  MHD_add_connection (server->daemon, fd, (const struct sockaddr *)&peer->storage, peer->len);
-  server_schedule_run (server);
-}
-
-void
-connection_set_idle (Connection *c)
-{
-  c->idle_since_ms = timers_now_ms (loop_timers (c->server->loop));
-  c->idle_limit_ms = c->server->idle_timeout_ms;
-}
-
-static void
-add_connection (HttpServer *server, struct MHD_Connection *mhd, void **context)
-{
-  const union MHD_ConnectionInfo *info
-      = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
-  Connection *c = talloc_zero (server, Connection);
-  struct epoll_event event = { .events = EPOLLRDHUP | EPOLLET, .data = { .ptr = c } };
-
-  c->server = server;
-  c->fd = info->connect_fd;
-  connection_set_idle (c);
-  list_append (&server->connections, &c->node);
-  server->n_connections++;
-  pause_listener_if_full (server);
-  epoll_ctl (server->hangup_fd, EPOLL_CTL_ADD, c->fd, &event);
-  *context = c;
-}
-
-static void
-on_connection (void *cls, struct MHD_Connection *mhd, void **context,
-               enum MHD_ConnectionNotificationCode code)
-{
-  Connection *c = *context;
-
-  if (code == MHD_CONNECTION_NOTIFY_STARTED)
-    {
-      add_connection (cls, mhd, context);
-      return;
-    }
-  if (!c)
-    return;
-  epoll_ctl (c->server->hangup_fd, EPOLL_CTL_DEL, c->fd, NULL);
-  list_remove (&c->node);
-  c->server->n_connections--;
-  pause_listener_if_full (c->server);
-  *context = NULL;
-  talloc_free (c);
+  (void)peer;
+  connection_add (data, fd);
 }
 
 /* What a sweep has closed, for its log line. */
@@ -187,18 +61,10 @@
   int64_t max_idle_ms;
 } SweepSummary;
 
-static bool
-has_unread_bytes (const Connection *c)
-{
-  char byte;
-
-  return recv (c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 static void
 add_to_summary (SweepSummary *summary, const Connection *c, int64_t age_ms)
 {
-  summary->unread += has_unread_bytes (c);
+  summary->unread += connection_has_unread_bytes (c);
   if (c->call)
     {
       summary->incomplete++;
@@ -235,18 +101,34 @@
 {
   HttpCall *call = c->call;
 
+  if (c->is_draining)
+    return age_ms >= DRAIN_LIMIT_MS;
   if (!call)
-    return age_ms >= idle_limit_ms (c) && !has_unread_bytes (c);
+    return age_ms >= idle_limit_ms (c) && !connection_has_unread_bytes (c);
   if (call->delivered || age_ms < c->server->read_timeout_ms)
     return false;
-  return !has_unread_bytes (c) || ++call->n_spared > MAX_SPARED_SWEEPS;
+  return !connection_has_unread_bytes (c) || ++call->n_spared > MAX_SPARED_SWEEPS;
 }
 
-/* Closes idle connections and those whose request does not arrive in time. libmicrohttpd's own timeout
- * restarts with each byte, so that a slow sender would never reach it.
+/* No response has been begun for the request, so that writing to the socket is safe. */
+static void
+send_timeout (const Connection *c)
+{
+  const char *body = c->server->timeout_body;
+  char head[192];
+  int len = snprintf (head, sizeof head,
+                      "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\n"
+                      "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+                      strlen (body));
+
+  if (send (c->fd, head, (size_t)len, MSG_NOSIGNAL | MSG_MORE) > 0)
+    (void)!send (c->fd, body, strlen (body), MSG_NOSIGNAL);
+  shutdown (c->fd, SHUT_RDWR);
+}
+
+/* Closes idle connections and those whose request does not arrive in time.
  *
- * After a stall this may run before the sockets are served: what has arrived is read first, so that only
- * the client's silence counts. */
+ * After a stall this may run before the sockets are served: only the client's silence counts. */
 static void
 close_expired_connections (void *data)
 {
@@ -254,33 +136,23 @@
   Timers *timers = loop_timers (server->loop);
   int64_t now = timers_now_ms (timers);
   SweepSummary summary = { 0 };
-  char head[192];
+  ListNode *next;
 
   timers_start (timers, server, SWEEP_INTERVAL_MS, close_expired_connections, server);
-  run_daemon (server);
-  for (ListNode *n = list_first (&server->connections); n; n = list_next (&server->connections, n))
+  for (ListNode *n = list_first (&server->connections); n; n = next)
     {
       Connection *c = LIST_ENTRY (n, Connection, node);
       int64_t age_ms = now - (c->call ? c->call->started_ms : c->idle_since_ms);
 
+      next = list_next (&server->connections, n);
       if (!is_expired (c, age_ms))
         continue;
       add_to_summary (&summary, c, age_ms);
       if (c->call)
-        {
-          int len = snprintf (head, sizeof head,
-                              "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\n"
-                              "Content-Length: %zu\r\nConnection: close\r\n\r\n",
-                              strlen (server->timeout_body));
-
-          /* No response is queued for this request, so that writing to the socket is safe. */
-          if (send (c->fd, head, (size_t)len, MSG_NOSIGNAL | MSG_MORE) > 0)
-            (void)!send (c->fd, server->timeout_body, strlen (server->timeout_body), MSG_NOSIGNAL);
-        }
-      shutdown (c->fd, SHUT_RDWR);
+        send_timeout (c);
+      connection_close (c);
     }
   log_sweep (server, &summary);
-  run_daemon (server);
 }
 
 /* --- Set-up ------------------------------------------------------------------------------ */
@@ -288,50 +160,19 @@
 static int
 server_destroy (HttpServer *server)
 {
+  ListNode *n;
+
   server->stopping = true;
   /* tevent must stop watching the descriptors before they are closed. */
-  TALLOC_FREE (server->daemon_event);
   TALLOC_FREE (server->hangup_event);
-  TALLOC_FREE (server->wake_event);
   TALLOC_FREE (server->listener);
-  if (server->daemon)
-    {
-      /* MHD_stop_daemon() must not be called with suspended connections. */
-      for (ListNode *n = list_first (&server->connections); n;
-           n = list_next (&server->connections, n))
-        {
-          HttpCall *call = LIST_ENTRY (n, Connection, node)->call;
-
-          if (!call)
-            continue;
-          call_client_gone (call);
-          http_call_abort (call);
-        }
-      MHD_run (server->daemon);
-      MHD_stop_daemon (server->daemon);
-    }
+  while ((n = list_first (&server->connections)))
+    connection_close (LIST_ENTRY (n, Connection, node));
   if (server->hangup_fd >= 0)
     close (server->hangup_fd);
-  if (server->wake_fd >= 0)
-    close (server->wake_fd);
   return 0;
 }
 
-static bool
-start_daemon (HttpServer *server, const HttpServerOptions *options)
-{
-  unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET;
-
-  server->daemon = MHD_start_daemon (
-      flags, 0, NULL, NULL, server_on_access, server, MHD_OPTION_CONNECTION_LIMIT,
-      options->max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)(options->max_header_bytes + POOL_EXTRA_BYTES), MHD_OPTION_URI_LOG_CALLBACK,
-      server_on_request_line, server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
-      MHD_OPTION_NOTIFY_COMPLETED, server_on_completed, server, MHD_OPTION_STRICT_FOR_CLIENT, 1,
-      MHD_OPTION_END);
-  return server->daemon != NULL;
-}
-
 static bool
 start_listener (HttpServer *server, const HttpServerOptions *options)
 {
@@ -347,8 +188,8 @@
 http_server_new (const void *ctx, Loop *loop, const HttpServerOptions *options)
 {
   HttpServer *server = talloc_zero (ctx, HttpServer);
-  const union MHD_DaemonInfo *info;
 
+  http_parser_set_max_header_size (PARSER_MAX_HEAD_BYTES);
   server->loop = loop;
   server->events = options->events;
   server->data = options->data;
@@ -362,20 +203,14 @@
   list_init (&server->connections);
   server->hangup_fd = epoll_create1 (EPOLL_CLOEXEC);
   talloc_set_destructor (server, server_destroy);
-  server->wake_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
-  if (server->hangup_fd < 0 || server->wake_fd < 0 || !start_daemon (server, options)
-      || !start_listener (server, options))
+  server->receive_buffer = talloc_size (server, HTTP_RECEIVE_BYTES);
+  if (server->hangup_fd < 0 || !start_listener (server, options))
     {
       talloc_free (server);
       return NULL;
     }
-  info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-  server->daemon_event = tevent_add_fd (loop_tevent (loop), server, info->epoll_fd, TEVENT_FD_READ,
-                                        on_daemon_ready, server);
   server->hangup_event = tevent_add_fd (loop_tevent (loop), server, server->hangup_fd,
                                         TEVENT_FD_READ, on_hangup, server);
-  server->wake_event = tevent_add_fd (loop_tevent (loop), server, server->wake_fd, TEVENT_FD_READ,
-                                      on_wake, server);
   timers_start (loop_timers (loop), server, SWEEP_INTERVAL_MS, close_expired_connections, server);
   return server;
 }
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -1,38 +1,39 @@
-/* Shared by server.c (daemon and connections), server_request.c (libmicrohttpd's request callbacks) and
+/* Shared by server.c (listener, set-up and time limits), connection.c (socket of one connection), request_parser.c (requests) and
  * call.c (one request and its response). */
 #pragma once
 
 #include <sys/types.h>
 
-#include <microhttpd.h>
+#include <http_parser.h>
 
 #include "core/list.h"
 #include "http/listener.h"
+#include "http/output_buffer.h"
+#include "http/request_head.h"
 #include "http/server.h"
 
 typedef struct Connection Connection;
 
+/* Bytes that are received at once. */
+#define HTTP_RECEIVE_BYTES ((size_t)32 << 10)
+
 struct HttpServer
 {
   Loop *loop;
   const HttpServerEvents *events;
   void *data;
-  struct MHD_Daemon *daemon;
   size_t max_body_bytes;
   size_t max_header_bytes;
   BufferQuota *body_quota;
   int64_t read_timeout_ms;
   int64_t idle_timeout_ms;
   char *timeout_body;
-  struct tevent_fd *daemon_event;
-  struct tevent_fd *hangup_event;
-  int wake_fd;
-  struct tevent_fd *wake_event;
-  bool run_scheduled;
+  char *receive_buffer; /* of the connection that is being read */
   bool close_after_response;
   bool stopping; /* no request is reported any more */
-  int hangup_fd; /* epoll set that reports clients that close their connection; libmicrohttpd's
-                    own set does not contain suspended connections */
+  int hangup_fd; /* epoll set that reports clients that close their connection while their request is
+                     being answered, when nothing is read */
+  struct tevent_fd *hangup_event;
   Listener *listener;
   List connections;
   size_t n_connections;
@@ -46,6 +47,14 @@
   HttpServer *server;
   HttpCall *call; /* NULL between requests */
   int fd;
+  struct tevent_fd *event;
+  struct tevent_immediate *progress_event;
+  http_parser parser;
+  char *unread; /* bytes behind the request that is being answered; NULL: none */
+  size_t n_unread;
+  OutputBuffer output;
+  bool is_draining; /* the last response has been sent; what the client still sends is discarded */
+  size_t drained_bytes;
   int64_t idle_since_ms; /* start of the connection, or end of its last request */
   int64_t idle_limit_ms; /* that was in force then */
 };
@@ -53,57 +62,69 @@
 struct HttpCall
 {
   HttpServer *server;
-  struct MHD_Connection *mhd;
   Connection *connection;
   void *data;
-  char *method;
-  char *target;
+  const char *method;
+  RequestHead head;
+  size_t raw_head_bytes; /* as received, with blanks that the head does not count */
   int64_t started_us;
   int64_t started_ms;
   char *body;
   size_t body_len;
   size_t body_quota_bytes; /* acquired for it */
   HttpFault fault;
-  int n_spared;   /* sweeps that found it late, but with bytes that were not read */
-  bool delivered; /* the request event was reported */
-  bool suspended;
-  bool response_queued; /* the response was handed to libmicrohttpd */
+  int n_spared;       /* sweeps that found it late, but with bytes that were not read */
+  bool head_complete; /* header lines that follow are trailers */
+  bool received;      /* nothing more is read for it */
+  bool delivered;     /* the request event was reported */
+  bool
+      keep_alive; /* the client wants to reuse the connection, and it can be told where the request ends */
+  bool accepts_chunks;
+  bool has_response;
+  bool has_body; /* the response may have one */
+  bool is_chunked;
   bool aborted;
   bool client_gone;
-  struct MHD_Response *response;
-  int status;
-  /* Streamed responses: output holds bytes that libmicrohttpd has not read yet. */
-  bool streaming;
-  bool ended;
+  bool ended; /* the response is complete */
   bool write_blocked;
-  struct tevent_immediate *writable_event;
-  char *output;
-  size_t output_start;
-  size_t output_end;
-  size_t output_size;
 };
 
+/** Takes a connection over that has been accepted. */
+void connection_add (HttpServer *server, int fd);
+
+/** Closes the connection. Its call, if any, is reported as closed. */
+void connection_close (Connection *connection);
+
 /** The connection waits for its next request from now on. */
 void connection_set_idle (Connection *connection);
 
-/** Schedules MHD_run() on the loop, after the events that are ready now. */
-void server_schedule_run (HttpServer *server);
+/** Sends what waits, and goes on with the connection, once the loop has returned from the current event. */
+void connection_schedule_progress (Connection *connection);
+
+/** @return whether bytes have arrived that were not read. */
+bool connection_has_unread_bytes (const Connection *connection);
+
+/** Starts to expect a request. */
+void request_parser_init (Connection *connection);
+
+/** Reads bytes of requests, at most up to the end of one; sets up the connection's call and delivers it when it is
+ * complete. @return the number of bytes read; the rest belongs to later requests. */
+size_t request_parser_read (Connection *connection, const char *bytes, size_t len);
+
+/** The head is known: checks what does not depend on the body. @return false if the body must not be read. */
+bool call_check_head (HttpCall *call);
+
+/** @return whether the client sends its body only after "100 Continue". */
+bool call_waits_to_send (const HttpCall *call);
 
-/** Resumes a suspended call, so that libmicrohttpd asks for its response or for more of its output. */
-void call_resume (HttpCall *call);
-void call_free (HttpCall *call);
+HttpCall *call_new (Connection *connection);
+void call_append_body (HttpCall *call, const char *bytes, size_t len);
 
-/** Hands the response to libmicrohttpd, or closes the connection if there is none, the client has gone, or the
- * call was aborted before its response was streamed. To be called from the access handler only. */
-enum MHD_Result call_queue_response (HttpCall *call);
+/** Reports the request, unless its client has left. @return false if the connection must be closed. */
+bool call_deliver (HttpCall *call);
 
 /** Handles a client that has closed its connection: reports client_gone and aborts the call. */
 void call_client_gone (HttpCall *call);
 
-/* Callbacks of libmicrohttpd; cls is the HttpServer. */
-void *server_on_request_line (void *cls, const char *uri, struct MHD_Connection *mhd);
-enum MHD_Result server_on_access (void *cls, struct MHD_Connection *mhd, const char *url,
-                                  const char *method, const char *version, const char *upload,
-                                  size_t *upload_len, void **context);
-void server_on_completed (void *cls, struct MHD_Connection *mhd, void **context,
-                          enum MHD_RequestTerminationCode code);
+/** The last of a call: reports closed if it was delivered, and frees it. */
+void call_finish (HttpCall *call);
