entry: pass on all header lines of an answer

Seen by reading, named by the review: of an answer with 64 header lines and more the rest was dropped, a seal among them, so that the client holds an answer that does not count. Cause: a list of fixed size between the relay and the HTTP server.

--- a/src/entry/frontend_call.c
+++ b/src/entry/frontend_call.c
@@ -16,18 +16,15 @@
 
 /* --- Responses --------------------------------------------------------------------------- */
 
-#define MAX_RESPONSE_HEADERS 64
-
-static size_t
-copy_headers (HttpHeader *list, const RelayHeader *headers, size_t n)
+/* @return the headers as a talloc array. */
+static HttpHeader *
+copy_headers (const RelayHeader *headers, size_t n)
 {
-  size_t copied = 0;
+  HttpHeader *list = talloc_array (NULL, HttpHeader, (unsigned)n);
 
-  for (size_t i = 0; i < n && copied < MAX_RESPONSE_HEADERS; i++)
-    list[copied++] = (HttpHeader){ headers[i].name, headers[i].value };
-  if (copied < n)
-    log_event (LOG_LEVEL_WARNING, "entry", "headers_dropped", "headers=%zu kept=%zu", n, copied);
-  return copied;
+  for (size_t i = 0; i < n; i++)
+    list[i] = (HttpHeader){ headers[i].name, headers[i].value };
+  return list;
 }
 
 static void
@@ -35,20 +32,20 @@
          size_t len)
 {
   FrontendCall *c = data;
-  HttpHeader list[MAX_RESPONSE_HEADERS];
-  size_t n = copy_headers (list, headers, n_headers);
+  HttpHeader *list = copy_headers (headers, n_headers);
 
-  http_call_respond (c->call, status, list, n, body, len);
+  http_call_respond (c->call, status, list, n_headers, body, len);
+  talloc_free (list);
 }
 
 static void
 begin_response (void *data, int status, const RelayHeader *headers, size_t n_headers)
 {
   FrontendCall *c = data;
-  HttpHeader list[MAX_RESPONSE_HEADERS];
-  size_t n = copy_headers (list, headers, n_headers);
+  HttpHeader *list = copy_headers (headers, n_headers);
 
-  http_call_begin_response (c->call, status, list, n);
+  http_call_begin_response (c->call, status, list, n_headers);
+  talloc_free (list);
 }
 
 static bool
