budgets: ask the coordinator once more when tokens served another reservation

Seen by callers: of reservations that come at one host at the same time, some get 503 budget_held although the coordinator holds enough.

Cause: tokens that arrive serve the reservation that has waited longest, whoever asked for them. The one that asked then turned to the store on its own, whose row says that all is granted, and was refused within 13 ms, while the tokens that the other had asked for were still on the way. Ruled out by prints in a trial: the coordinator refuses nothing (no refusal of a peer's request), ceilings (use below them).

Change: such a reservation asks the coordinator again. A wait ends after 700 ms as before.

--- a/src/budget/budgets_transfer.c
+++ b/src/budget/budgets_transfer.c
@@ -124,7 +124,8 @@
 }
 
 /* If no coordinator has provided the tokens, they are obtained from the store, unless the account is exhausted or a
- * coordinator has timed out while it waited for the store. */
+ * coordinator has timed out while it waited for the store. Tokens that have arrived may have served a reservation that
+ * waited for longer: the coordinator is asked once more then. */
 static void
 on_ended (void *data, uint64_t id, const char *account, TransferOutcome outcome)
 {
@@ -142,6 +143,11 @@
     wait_refuse (r, ERR_BUDGET_EXHAUSTED, now);
   else if (r && outcome == TRANSFER_PENDING_TIMED_OUT)
     wait_refuse (r, ERR_BUDGET_UNREACHABLE, now);
+  else if (r && (outcome == TRANSFER_SUFFICIENT || outcome == TRANSFER_WITH_EXTRA))
+    {
+      r->state = WAIT_REQUEST_UNSENT;
+      budgets_schedule_step (b);
+    }
   else if (r)
     {
       r->state = WAIT_STORE;
--- a/tests/unit/test_budget_hosts.c
+++ b/tests/unit/test_budget_hosts.c
@@ -360,6 +360,38 @@
   talloc_free (f);
 }
 
+/* Guards against a refusal of one of several reservations that come at the same time: the tokens that it has asked for have
+ * served another, and those of the other are still on the way. */
+static void
+tokens_of_one_request_may_serve_another (void)
+{
+  enum
+  {
+    HOSTS = 3,
+    OPEN = 9,
+    ROUNDS = 20
+  };
+  BudgetFixture *f = budget_fixture_new (HOSTS, 1);
+  BudgetReservation open[OPEN];
+
+  budget_fixture_configure (f, ACCOUNT, 100000, 1);
+  budget_fixture_run (f, 4000);
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      for (int i = 0; i < OPEN; i++)
+        budget_fixture_reserve (f, i % HOSTS, ACCOUNT, 11000, &open[i]);
+      budget_fixture_run (f, 700);
+      for (int i = 0; i < OPEN; i++)
+        {
+          CU_ASSERT_EQUAL (open[i].err, ERR_NONE);
+          if (open[i].handle)
+            budget_fixture_settle (f, &open[i], 0);
+        }
+      budget_fixture_run (f, 3000);
+    }
+  talloc_free (f);
+}
+
 int
 main (void)
 {
@@ -382,6 +414,7 @@
     { "store_with_an_era_is_drawn_from_without_delay",
       store_with_an_era_is_drawn_from_without_delay },
     { "account_serves_soon_after_a_store_restore", account_serves_soon_after_a_store_restore },
+    { "tokens_of_one_request_may_serve_another", tokens_of_one_request_may_serve_another },
   };
 
   return harness_run ("budget_hosts", CASES, sizeof CASES / sizeof CASES[0]);
