budgets: what is stated and not delivered comes back after a kill

Evidence, hosts' logs kept, (reclaimed by the hosts, at each start): first kill 36,049 by the coordinator; second: ceilings fresh (1.7 s), nothing; third: the only row is two lives old (8.5 s). Nine requests of 4,000 are open at each kill and have delivered some 60 beside 1,000 of prompt.

Causes, two: (1) a reservation counts as used from begin to end, at its most, in the published ceiling. (2) Tokens that were transferred to another host count as used by the one, and the other publishes nothing of them: use below 0 was not published, and not read. Ruled out: the 402 itself (it tells the truth about a wrong balance), transfers in flight, the store.

Change: (1) of a reservation only a covered part counts: what is used, and what may be in 3 s at the pace of the answer (512 tokens at least, so that requests that state little more than they use are covered whole, as before). More is covered before a piece that needs it is passed on; where the ceiling does not allow it, the piece waits for one publication, or in an outage for the growth of the ceiling. (2) Ceilings may be negative; the next incarnation takes over what is certainly left, with the write by which it replaces that row: no call more, and no other incarnation can take it again. Returns to the store beyond a host's own grants count as use. An older build reads a negative ceiling as none.

Soak: requests state ten times what they use and deliver in pieces; hosts are killed inside cuts from the store and while they return all they hold; what an incarnation regains is compared with what its predecessors held and nobody had used (regained_was_held).

--- a/src/budget/account.c
+++ b/src/budget/account.c
@@ -36,6 +36,8 @@
  * share of a small account: surpluses above the limit divided by this, or above MIN_RETURN_TOKENS, are transferred. */
 #define MIN_TRANSFER_DIVISOR 10000
 
+#define MS_PER_S 1000
+
 Tokens
 budget_account_limit (const BudgetAccount *a)
 {
@@ -190,7 +192,7 @@
 Tokens
 budget_account_used (const BudgetAccount *a)
 {
-  return a->granted - a->balance - a->returning;
+  return tokens_max (a->granted - a->returning, 0) - a->balance - a->uncovered - a->taking_over;
 }
 
 static Tokens
@@ -211,35 +213,69 @@
 Ceiling
 budget_account_next_ceiling (const BudgetAccount *a, const BudgetPolicy *p, int64_t now_ms)
 {
-  Tokens used = tokens_max (budget_account_used (a), 0);
-  Tokens cap = tokens_max (a->granted, used);
-  Tokens margin = ceiling_margin (a, p, now_ms);
-  Tokens base = tokens_min (used + a->waiting_tokens + margin, cap);
-  Tokens max = base + expected_demand (a, p->covered_outage_ms, 2, now_ms);
-
-  if (a->rate_updated_ms == 0)
+  Tokens used = budget_account_used (a);
+  Tokens own = tokens_max (a->granted, 0);
+  Tokens cap = tokens_max (own, used);
+  Tokens wanted = a->waiting_tokens + a->cover_wanted + ceiling_margin (a, p, now_ms);
+  /* A host that has no grants of its own returns its balance at any time, without a publication before. */
+  bool returns_at_any_time = a->returns_all || (own == 0 && !a->is_coordinator);
+  Tokens returns = returns_at_any_time ? a->balance : 0;
+  Tokens base = tokens_min (used + wanted + returns, cap);
+  Tokens max = base + a->uncovered + expected_demand (a, p->covered_outage_ms, 2, now_ms);
+  Tokens growth = expected_demand (a, MS_PER_S, 2, now_ms) + a->cover_per_s;
+
+  if (a->rate_updated_ms == 0 && (own > 0 || a->is_coordinator))
     return (Ceiling){ base, CEILING_UNLIMITED, cap };
-  return (Ceiling){ base, expected_demand (a, 1000, 2, now_ms), tokens_min (max, cap) };
+  return (Ceiling){ base, growth, tokens_min (max, cap) };
 }
 
 /* --- Balance ----------------------------------------------------------------------------- */
 
+static bool
+is_below_ceiling (const BudgetAccount *a, Tokens tokens, Tokens ceiling)
+{
+  return budget_account_used (a) + tokens <= ceiling;
+}
+
 static bool
 is_covered (const BudgetAccount *a, Tokens tokens, Tokens ceiling)
 {
-  return a->balance >= tokens && budget_account_used (a) + tokens <= ceiling;
+  return a->balance >= tokens && is_below_ceiling (a, tokens, ceiling);
 }
 
 bool
-budget_account_reserve (BudgetAccount *a, Tokens tokens, Tokens ceiling)
+budget_account_reserve (BudgetAccount *a, Tokens tokens, Tokens uncovered, Tokens ceiling)
 {
-  if (!is_covered (a, tokens, ceiling))
+  if (a->balance < tokens || !is_below_ceiling (a, tokens - uncovered, ceiling))
     return false;
   a->balance -= tokens;
   a->reserved += tokens;
+  a->uncovered += uncovered;
   return true;
 }
 
+bool
+budget_account_cover (BudgetAccount *a, Tokens tokens, Tokens ceiling)
+{
+  if (!is_below_ceiling (a, tokens, ceiling))
+    return false;
+  a->uncovered -= tokens;
+  INVARIANT ("uncovered_never_negative", a->uncovered >= 0, "uncovered %lld",
+             (long long)a->uncovered);
+  return true;
+}
+
+Tokens
+budget_account_returnable (const BudgetAccount *a, Tokens ceiling)
+{
+  Tokens own = tokens_max (a->granted - a->returning, 0);
+  Tokens room;
+
+  if (__builtin_sub_overflow (ceiling, budget_account_used (a), &room))
+    return a->balance;
+  return tokens_min (a->balance, tokens_add_saturated (own, tokens_max (room, 0)));
+}
+
 void
 budget_account_settle (BudgetAccount *a, Tokens tokens, Tokens spent, int64_t now_ms)
 {
--- a/src/budget/account.h
+++ b/src/budget/account.h
@@ -7,7 +7,9 @@
  * has spent, reserved or transferred out do not exceed what it was granted or received in transfers.
  *
  * A host keeps the use of its own grants below a ceiling that it has published, so that the unused rest can be
- * reclaimed after a restart; see ceiling_publisher.h. */
+ * reclaimed after a restart; see ceiling_publisher.h. Of a reservation only the covered part counts as used: what its
+ * request may deliver before more is covered. The use is negative while the host holds more than its own grants, from
+ * transfers, and the next incarnation then takes over what is certainly left of those. */
 #pragma once
 
 #include <stdbool.h>
@@ -79,7 +81,14 @@
   Tokens returning; /* taken out of the balance by a transaction that returns them to the store */
   bool is_ample;    /* if not the coordinator: the last transfer request obtained extra tokens */
   Tokens reserved;
-  Tokens committed; /* part of reserved that is certainly spent */
+  Tokens committed;    /* part of reserved that is certainly spent */
+  Tokens uncovered;    /* part of reserved that must not be used yet */
+  Tokens cover_wanted; /* part of uncovered that requests are about to use */
+  Tokens cover_per_s;  /* by which the covered parts may have to grow */
+  /* Left of what the previous incarnation held; becomes part of the balance once ceilings have been published. */
+  Tokens taking_over;
+  Tokens regained;  /* from previous incarnations of this host, in all */
+  bool returns_all; /* this host is about to return its whole balance */
   Tokens spent;     /* by this host's requests, and by those of hosts that reported to this one */
   Tokens reported;  /* part of spent that was reported to a coordinator */
   Tokens persisted; /* part of spent, not reported, that is or may be stored in this host's row */
@@ -121,17 +130,24 @@
 /** @return reserved tokens that may still be released unspent. */
 Tokens budget_account_uncommitted (const BudgetAccount *account);
 
-/** @return own grants in use: spent, reserved or transferred out. Negative while the balance contains tokens that
- * were granted to other hosts. */
+/** @return own grants in use: spent, covered by reservations, transferred out, or returned to the store beyond them.
+ * Negative while this host holds tokens that were granted to other hosts. */
 Tokens budget_account_used (const BudgetAccount *account);
 
 /** @return the ceiling to publish next. */
 Ceiling budget_account_next_ceiling (const BudgetAccount *account, const BudgetPolicy *policy,
                                      int64_t now_ms);
 
-/** Reserves @p tokens for a request. @p ceiling: bound on the own grants in use at this time.
- * @return false if the balance or the ceiling does not cover them. */
-bool budget_account_reserve (BudgetAccount *account, Tokens tokens, Tokens ceiling);
+/** Reserves @p tokens for a request, of which @p uncovered must not be used yet. @p ceiling: bound on the own grants in
+ * use at this time. @return false if the balance does not cover the tokens, or the ceiling those that may be used. */
+bool budget_account_reserve (BudgetAccount *account, Tokens tokens, Tokens uncovered,
+                             Tokens ceiling);
+
+/** Covers more of what is reserved. Conditions and result as for budget_account_reserve(). */
+bool budget_account_cover (BudgetAccount *account, Tokens tokens, Tokens ceiling);
+
+/** @return how much of its balance this host may return to the store at once. */
+Tokens budget_account_returnable (const BudgetAccount *account, Tokens ceiling);
 
 /** Ends a reservation of @p tokens, of which @p spent were used. */
 void budget_account_settle (BudgetAccount *account, Tokens tokens, Tokens spent, int64_t now_ms);
--- a/src/budget/budgets.c
+++ b/src/budget/budgets.c
@@ -38,15 +38,18 @@
   pthread_mutex_unlock (&((AccountEntry *)data)->budgets->lock);
 }
 
-/* @return whether the balance covers the reservations that wait for the store, but the ceiling without its growth does
- * not, so that a new one should be published soon. */
+/* @return whether the balance covers the reservations that wait for the store, or a piece of an answer waits to be
+ * covered, but the ceiling without its growth does not allow it, so that a new one should be published soon. */
 static bool
 waits_for_ceiling (const AccountEntry *a)
 {
   const BudgetAccount *s = &a->state;
 
-  return s->waiting_tokens > 0 && s->balance >= s->waiting_tokens
-         && budget_account_used (s) + s->waiting_tokens > s->ceiling.base;
+  Tokens wanted = s->balance >= s->waiting_tokens ? s->waiting_tokens : 0;
+
+  if (!list_is_empty (&a->cover_waiters))
+    wanted += s->cover_wanted;
+  return wanted > 0 && budget_account_used (s) + wanted > s->ceiling.base;
 }
 
 static void
@@ -57,6 +60,7 @@
   bool needs_publish;
 
   pthread_mutex_lock (&b->lock);
+  cover_serve (a, timers_now_ms (b->options.timers));
   wait_serve (a, timers_now_ms (b->options.timers));
   needs_publish = waits_for_ceiling (a);
   pthread_mutex_unlock (&b->lock);
@@ -163,7 +167,10 @@
   pthread_mutex_lock (&b->lock);
   g_hash_table_iter_init (&iter, b->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    grant_client_on_restore (((AccountEntry *)value)->grant_client);
+    {
+      grant_client_on_restore (((AccountEntry *)value)->grant_client);
+      budgets_forget_held (value);
+    }
   pthread_mutex_unlock (&b->lock);
 }
 
@@ -186,6 +193,7 @@
   a->state.unconsented = CEILING_NONE;
   a->next_ceiling = CEILING_NONE;
   list_init (&a->waiters);
+  list_init (&a->cover_waiters);
   a->peer_holdings = peer_holdings_new (a);
   create_grant_client (a);
   g_hash_table_insert (b->accounts, a->name, a);
@@ -342,11 +350,12 @@
 {
   const BudgetAccount *s = &a->state;
 
-  return json_pack ("{s:s,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:b}", "account", a->name, "keeper",
-                    s->is_coordinator, "limit", (json_int_t)budget_account_limit (s),
+  return json_pack ("{s:s,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:b}", "account", a->name,
+                    "keeper", s->is_coordinator, "limit", (json_int_t)budget_account_limit (s),
                     "granted_to_all_hosts", (json_int_t)s->row.granted, "granted",
                     (json_int_t)s->granted, "ceiling", (json_int_t)s->ceiling.base, "balance",
-                    (json_int_t)s->balance, "reserved", (json_int_t)s->reserved, "spent",
+                    (json_int_t)s->balance, "reserved", (json_int_t)s->reserved, "uncovered",
+                    (json_int_t)s->uncovered, "regained", (json_int_t)s->regained, "spent",
                     (json_int_t)s->spent, "waiting", (json_int_t)s->waiting_tokens, "store_answers",
                     grant_client_is_connected (a->grant_client));
 }
--- a/src/budget/budgets.h
+++ b/src/budget/budgets.h
@@ -47,6 +47,11 @@
 {
   const char *account;
   Tokens tokens; /* the highest possible cost of the request */
+  /** The request delivers its answer in pieces: reservation_cover() is called before each. The first piece may cost
+   * first_tokens, such as the prompt, beside its own. Otherwise NULL: all may be used at once. Called by
+   * callback_executor when reservation_cover() has returned false and the piece may now be delivered. */
+  void (*covered) (void *data);
+  Tokens first_tokens;
   int64_t now_ms;
   Executor callback_executor; /* runs fn */
   ReserveFn fn;
@@ -63,6 +68,11 @@
  * release. */
 void reservation_commit (Reservation *reservation, Tokens tokens);
 
+/** To be called before a piece is delivered with which the request has used @p tokens of the reservation. @return false if
+ * it must not be delivered before the covered function has been called, because a restart of this host would take the
+ * tokens back. */
+bool reservation_cover (Reservation *reservation, Tokens tokens, int64_t now_ms);
+
 /** Ends the reservation, of which @p spent tokens were used, and frees it. */
 void reservation_settle (Reservation *reservation, Tokens spent, int64_t now_ms);
 
--- a/src/budget/budgets_ceilings.c
+++ b/src/budget/budgets_ceilings.c
@@ -18,6 +18,48 @@
   a->state.unconsented = ceiling_min (&a->state.unconsented, &unconsented);
 }
 
+/* What the previous incarnation held beyond its own grants is this one's as soon as the row that says so has been
+ * replaced: from then on no other incarnation can take it over. */
+static void
+find_held (AccountEntry *a)
+{
+  Budgets *b = a->budgets;
+
+  if (a->held_is_known)
+    return;
+  a->held_is_known = true;
+  a->state.taking_over = ceiling_previous_held (ceiling_publisher_previous (b->publisher), a->name);
+}
+
+static void
+take_over (AccountEntry *a)
+{
+  Tokens tokens = a->state.taking_over;
+
+  if (tokens == 0)
+    return;
+  a->state.taking_over = 0;
+  a->state.balance += tokens;
+  a->state.regained += tokens;
+  log_event (LOG_LEVEL_NOTICE, "budget", "taken_over", "account=%s tokens=%" PRId64, a->name,
+             tokens);
+}
+
+void
+budgets_forget_held (AccountEntry *a)
+{
+  a->held_is_known = true;
+  a->state.taking_over = 0;
+}
+
+/* A ceiling above 0 of an account without grants says no more than none at all. */
+static bool
+is_published (const AccountEntry *a)
+{
+  return a->state.granted > 0 || a->state.taking_over > 0 || a->next_ceiling.base < 0
+         || a->state.ceiling.base < 0;
+}
+
 static void
 on_collect (void *data, CeilingFn fn, void *fn_data)
 {
@@ -32,16 +74,14 @@
     {
       AccountEntry *a = value;
 
-      if (a->state.granted <= 0)
-        {
-          /* An account that is missing from the published row has used nothing before ceilings start to grow. */
-          a->next_ceiling = CEILING_NONE;
-          lower_ceilings (a);
-          continue;
-        }
+      find_held (a);
       a->next_ceiling = budget_account_next_ceiling (&a->state, &b->options.policy, now);
+      if (is_published (a))
+        fn (fn_data, a->name, &a->next_ceiling);
+      else
+        /* An account that is missing from the published row has used nothing before ceilings start to grow. */
+        a->next_ceiling = CEILING_NONE;
       lower_ceilings (a);
-      fn (fn_data, a->name, &a->next_ceiling);
     }
   pthread_mutex_unlock (&b->lock);
 }
@@ -64,6 +104,9 @@
 
       a->state.ceiling = a->next_ceiling;
       a->state.unconsented = ceiling_without_consent (&a->next_ceiling);
+      if (a->held_is_known)
+        take_over (a);
+      cover_serve (a, now);
       wait_serve (a, now);
     }
   pthread_mutex_unlock (&b->lock);
--- a/src/budget/budgets_impl.h
+++ b/src/budget/budgets_impl.h
@@ -1,5 +1,5 @@
 /* Internals of the budgets, in the order in which a request passes them: budgets_reserve.c (reservations),
- * budgets_wait.c (waiting requests and their results), budgets_transfer.c (transfers between hosts),
+ * budgets_cover.c (how much of a reservation may be used), budgets_wait.c (waiting requests and their results), budgets_transfer.c (transfers between hosts),
  * budgets_ceilings.c (published ceilings), budgets.c (accounts, configuration, steps). */
 #pragma once
 
@@ -17,6 +17,7 @@
 #include "core/list.h"
 
 typedef struct ReserveResult ReserveResult;
+typedef struct CoverNotice CoverNotice;
 
 typedef struct
 {
@@ -26,7 +27,9 @@
   BudgetAccount state;
   Ceiling next_ceiling; /* collected for the publication in progress */
   GrantClient *grant_client;
-  List waiters; /* of Reservation */
+  List waiters;       /* of Reservation */
+  List cover_waiters; /* of Reservation, by cover_node */
+  bool held_is_known; /* what the previous incarnation held was looked up */
   /* If this host is the coordinator. */
   PeerHoldings *peer_holdings;
   /* Time at which this host became the preferred coordinator (coordinators_is_preferred()); 0: it is not. */
@@ -63,12 +66,29 @@
   WAIT_STORE           /* this host's own transactions on the store */
 } WaitState;
 
+/* How much of a reservation may be used. */
+typedef struct
+{
+  bool grows;       /* false: all of it may be used from the begin */
+  Tokens uncovered; /* must not be used yet */
+  Tokens used;      /* as last stated */
+  Tokens ahead;     /* to be covered beyond what is used */
+  Tokens wanted;    /* part of the account's cover_wanted */
+  Tokens first_used;
+  int64_t first_used_ms; /* 0: not yet */
+  ListNode node;
+  bool waits; /* for more, in the account's cover_waiters */
+  void (*fn) (void *data);
+  CoverNotice *notice; /* posted and not delivered yet; NULL: none */
+} Cover;
+
 /* The reservation of a client request, or a transfer request of another host that waits for tokens. */
 struct Reservation
 {
   AccountEntry *account;
   Tokens tokens;
   Tokens committed; /* part of tokens that is certainly spent */
+  Cover cover;
   /* The wait for tokens and its result. */
   ListNode node;
   bool waiting;
@@ -83,6 +103,17 @@
   uint64_t peer_request_id;
 };
 
+/* budgets_ceilings.c: what the previous incarnation held is not taken over. */
+void budgets_forget_held (AccountEntry *a);
+
+/* budgets_cover.c: how much of a reservation may be used. */
+/* The request is to be reserved: decides on the part that is covered first. */
+void cover_init (Cover *cover, const ReserveRequest *request);
+/* The reservation ends: nothing of it is uncovered any more. */
+void cover_end (Reservation *r);
+/* Control loop: tells requests that wait for it that they may use more. */
+void cover_serve (AccountEntry *a, int64_t now_ms);
+
 /* All functions below are called under the lock unless said otherwise. */
 
 /* budgets.c */
--- a/src/budget/budgets_reserve.c
+++ b/src/budget/budgets_reserve.c
@@ -14,6 +14,7 @@
     wait_end (r);
   else
     {
+      cover_end (r);
       a->state.reserved -= r->tokens;
       a->state.committed -= r->committed;
       a->state.balance += r->tokens;
@@ -30,15 +31,16 @@
   Tokens ceiling = budgets_effective_ceiling (a, request->now_ms);
 
   *waits = false;
-  if (list_is_empty (&a->waiters) && budget_account_reserve (&a->state, r->tokens, ceiling))
+  r->callback_executor = request->callback_executor;
+  r->fn = request->fn;
+  r->data = request->data;
+  if (list_is_empty (&a->waiters)
+      && budget_account_reserve (&a->state, r->tokens, r->cover.uncovered, ceiling))
     return true;
   if (a->state.is_coordinator && a->state.balance < r->tokens
       && !grant_client_is_connected (a->grant_client))
     return wait_set_refusal (a, ERR_BUDGET_UNREACHABLE, r->tokens, request->now_ms, err);
   *waits = true;
-  r->callback_executor = request->callback_executor;
-  r->fn = request->fn;
-  r->data = request->data;
   wait_begin (r, request->now_ms);
   budgets_schedule_step (a->budgets);
   return true;
@@ -60,6 +62,7 @@
       r = talloc_zero (ctx, Reservation);
       r->account = a;
       r->tokens = request->tokens;
+      cover_init (&r->cover, request);
       ok = reserve_or_wait (r, request, waits, err);
     }
   pthread_mutex_unlock (&b->lock);
@@ -96,6 +99,7 @@
   /* A reservation that waits has reserved nothing yet. */
   if (!r->waiting)
     {
+      cover_end (r);
       budget_account_settle (&r->account->state, r->tokens, spent, now_ms);
       r->tokens = 0;
     }
--- a/src/budget/budgets_wait.c
+++ b/src/budget/budgets_wait.c
@@ -85,6 +85,7 @@
     {
       result->err = *err;
       r->tokens = 0;
+      r->cover.uncovered = 0;
     }
   r->result = result;
   executor_post (r->callback_executor, deliver_result, result);
@@ -117,7 +118,7 @@
   BudgetAccount *s = &r->account->state;
 
   return r->peer ? budget_account_transfer_out (s, r->tokens, ceiling, now_ms)
-                 : budget_account_reserve (s, r->tokens, ceiling);
+                 : budget_account_reserve (s, r->tokens, r->cover.uncovered, ceiling);
 }
 
 /* --- Refusals ---------------------------------------------------------------------------- */
--- a/src/budget/ceiling.c
+++ b/src/budget/ceiling.c
@@ -52,5 +52,5 @@
   if (json_unpack ((json_t *)json, "[I,I,I!]", &base, &growth_per_s, &max) != 0)
     return false;
   *c = (Ceiling){ base, growth_per_s, max };
-  return base >= 0 && growth_per_s >= 0 && max >= base;
+  return base > -CEILING_UNLIMITED && growth_per_s >= 0 && max >= base;
 }
--- a/src/budget/ceiling.h
+++ b/src/budget/ceiling.h
@@ -23,7 +23,7 @@
 
 typedef struct
 {
-  Tokens base;         /* bound until growth starts */
+  Tokens base; /* bound until growth starts; negative: that much of what others granted is left */
   Tokens growth_per_s; /* CEILING_UNLIMITED: rises to max at once */
   Tokens max;          /* growth stops here */
 } Ceiling;
--- a/src/budget/ceiling_previous.c
+++ b/src/budget/ceiling_previous.c
@@ -89,6 +89,15 @@
   return p->age_ms >= 0 && p->age_ms < CEILING_GROWTH_DELAY_MS;
 }
 
+static Tokens
+bound (const CeilingPrevious *p, const Ceiling *published)
+{
+  Ceiling ceiling
+      = p->consent == CONSENT_NOT_GIVEN ? ceiling_without_consent (published) : *published;
+
+  return ceiling_at (&ceiling, p->age_ms);
+}
+
 Tokens
 ceiling_previous_max (const CeilingPrevious *p, uint64_t incarnation, const char *account)
 {
@@ -98,7 +107,15 @@
     return -1;
   if (!ceiling_from_json (json_object_get (p->ceilings, account), &ceiling))
     return ceiling_previous_is_fresh (p) && !json_object_get (p->ceilings, account) ? 0 : -1;
-  if (p->consent == CONSENT_NOT_GIVEN)
-    ceiling = ceiling_without_consent (&ceiling);
-  return ceiling_at (&ceiling, p->age_ms);
+  return tokens_max (bound (p, &ceiling), 0);
+}
+
+Tokens
+ceiling_previous_held (const CeilingPrevious *p, const char *account)
+{
+  Ceiling ceiling;
+
+  if (p->age_ms < 0 || !ceiling_from_json (json_object_get (p->ceilings, account), &ceiling))
+    return 0;
+  return -tokens_min (bound (p, &ceiling), 0);
 }
--- a/src/budget/ceiling_previous.h
+++ b/src/budget/ceiling_previous.h
@@ -59,6 +59,9 @@
 /** @return whether no ceiling has grown yet. */
 bool ceiling_previous_is_fresh (const CeilingPrevious *previous);
 
+/** @return tokens that the previous incarnation certainly held beyond its own grants, from transfers, when it ended. */
+Tokens ceiling_previous_held (const CeilingPrevious *previous, const char *account);
+
 /** @return an upper bound on what the previous incarnation has used of its grants. -1: none is known, for example
  * because @p incarnation did not write the row; all its grants then count as used. */
 Tokens ceiling_previous_max (const CeilingPrevious *previous, uint64_t incarnation,
--- a/src/budget/grant_client.c
+++ b/src/budget/grant_client.c
@@ -148,12 +148,14 @@
   Tokens change = c->closing && a->waiting_tokens == 0
                       ? -a->balance
                       : budget_account_grant_change (a, c->options.policy, now_ms);
+  Tokens ceiling
+      = ceiling_publisher_effective (c->options.publisher, &a->ceiling, &a->unconsented, now_ms);
 
   if (c->n_unresolved == MAX_UNRESOLVED || (change > 0 && !grant_client_is_reconciled (c)))
     return 0;
   if (change < 0 && ceiling_publisher_is_stalled (c->options.publisher, now_ms))
     return 0;
-  return change;
+  return change < 0 ? -tokens_min (-change, budget_account_returnable (a, ceiling)) : change;
 }
 
 /* @return whether a transaction is due; if so, fills in what it writes. */
@@ -222,6 +224,7 @@
 grant_client_close (GrantClient *c)
 {
   c->closing = true;
+  c->account->returns_all = true;
 }
 
 void
--- a/src/budget/grant_client_rows.c
+++ b/src/budget/grant_client_rows.c
@@ -175,6 +175,7 @@
       if (c->reclaimable > 0)
         log_event (LOG_LEVEL_NOTICE, "budget", "reclaimed", "account=%s tokens=%" PRId64,
                    c->options.account, c->reclaimable);
+      c->account->regained += c->reclaimable;
       c->reclaimable = 0;
       c->reconcile_due = false;
       c->row_reconciled = grant_client_is_reconciled (c);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -70,12 +70,32 @@
     relay_start_attempt (r);
 }
 
+static void
+on_covered (void *data)
+{
+  Relay *r = data;
+
+  if (!r->write_blocked && r->attempt && r->attempt->call)
+    backend_resume (r->attempt->call);
+}
+
+/* What an answer costs is known piece by piece if each of its events counts the same. */
+static bool
+is_charged_by_events (const Relay *r)
+{
+  const RelayRequest *q = r->request;
+
+  return q->kind == CALL_STREAM && q->event_tokens > 0 && !r->deps->dialect->ops->decode_event;
+}
+
 void
 relay_reserve_budget (Relay *r)
 {
   const RelayRequest *q = r->request;
   ReserveRequest request = { .account = q->account,
                              .tokens = tokens_add_saturated (q->prompt_tokens, q->max_tokens),
+                             .covered = is_charged_by_events (r) ? on_covered : NULL,
+                             .first_tokens = q->prompt_tokens,
                              .now_ms = r->received_ms,
                              .callback_executor = r->deps->executor,
                              .fn = on_reserved,
--- a/src/relay/relay_stream.c
+++ b/src/relay/relay_stream.c
@@ -1,5 +1,7 @@
 #include "relay/relay_impl.h"
 
+#include <string.h>
+
 #include <talloc.h>
 
 #include "core/counter.h"
@@ -105,10 +107,34 @@
   return true;
 }
 
+/* @return the most events that can end in these bytes: each ends with an empty line. */
+static Tokens
+max_events (const char *bytes, size_t len)
+{
+  Tokens n_lines = 0;
+
+  for (const char *p = bytes; (p = memchr (p, '\n', len - (size_t)(p - bytes))); p++)
+    n_lines++;
+  return n_lines / 2 + 1;
+}
+
+/* @return whether the bytes may be delivered at once, as far as the budget is concerned. */
+static bool
+is_covered (Relay *r, const char *bytes, size_t len)
+{
+  const RelayRequest *q = r->request;
+  Tokens tokens;
+
+  if (!r->reservation || r->reserved == 0)
+    return true;
+  tokens = q->prompt_tokens + r->delivered + max_events (bytes, len) * q->event_tokens;
+  return reservation_cover (r->reservation, tokens, timers_now_ms (r->deps->timers));
+}
+
 BackendFlow
 relay_stream_bytes (Relay *r, Attempt *a, const char *bytes, size_t len)
 {
-  if (r->write_blocked)
+  if (r->write_blocked || !is_covered (r, bytes, len))
     {
       counter_add (relay_counters ()->stream_pauses, 1);
       return BACKEND_PAUSE;
--- a/tests/soak/soak_run.c
+++ b/tests/soak/soak_run.c
@@ -7,6 +7,8 @@
 
 #include <talloc.h>
 
+#include "budget/budgets_impl.h"
+#include "budget/grant_client_impl.h"
 #include "budget_fixture.h"
 #include "core/invariant.h"
 
@@ -19,6 +21,13 @@
 
 #define OLDER_BUILD_RATE 0.2
 
+/* Requests that deliver in pieces, and state this many times as much. */
+#define PIECES_RATE   0.3
+#define STATED_FACTOR 10
+
+/* A host that is cut off from the store is killed within this time in half of the cases. */
+#define MAX_CUT_BEFORE_KILL_MS 3000
+
 typedef struct
 {
   char name[32];
@@ -27,6 +36,9 @@
   Tokens spent;     /* on all hosts; includes open reservations of killed hosts */
   int64_t version;  /* of the newest configuration */
   int64_t unused_until_ms;
+  /* Held by ended processes of each host when they ended, less what later ones have regained. */
+  Tokens lost[BUDGET_FIXTURE_MAX_HOSTS];
+  Tokens regained[BUDGET_FIXTURE_MAX_HOSTS]; /* by the running process, as last seen */
 } Account;
 
 typedef struct
@@ -37,6 +49,9 @@
   Tokens tokens;
   int64_t ends_ms;
   bool active;
+  bool in_pieces;
+  Tokens prompt;
+  Tokens delivered; /* counted in the account's spent tokens already */
 } SoakRequest;
 
 typedef struct
@@ -48,6 +63,8 @@
   Account accounts[ACCOUNTS];
   SoakRequest requests[MAX_REQUESTS];
   int64_t down_until_ms[BUDGET_FIXTURE_MAX_HOSTS]; /* 0: up */
+  int64_t kill_at_ms[BUDGET_FIXTURE_MAX_HOSTS];    /* 0: not planned */
+  bool draining[BUDGET_FIXTURE_MAX_HOSTS];         /* until it is killed */
   bool peer_messages_lost;                         /* some messages may have been lost */
   int kills;
   int64_t backup_ms; /* when the store made its backup; 0: it has none */
@@ -94,12 +111,38 @@
   return value ? strtoll (value + sizeof "{\"granted\":" - 1, NULL, 10) : 0;
 }
 
+/* @return the account as the host sees it; NULL if the host is down. */
+static AccountEntry *
+account_on_host (const SoakRun *r, const Account *a, int host)
+{
+  Budgets *b = r->fixture->hosts[host].budgets;
+
+  return b ? budgets_find_account (b, a->name) : NULL;
+}
+
+static void
+check_regained (const SoakRun *r, Account *a)
+{
+  for (int h = 0; h < r->fixture->n_hosts; h++)
+    {
+      const AccountEntry *entry = account_on_host (r, a, h);
+      Tokens regained = entry ? entry->state.regained : 0;
+
+      a->lost[h] -= regained - a->regained[h];
+      a->regained[h] = regained;
+      INVARIANT ("regained_was_held", a->lost[h] >= 0, "host %d, account %s: %lld too many", h,
+                 a->name, (long long)-a->lost[h]);
+    }
+}
+
 static void
-check_accounts (const SoakRun *r)
+check_accounts (SoakRun *r)
 {
   for (int i = 0; i < ACCOUNTS; i++)
     {
-      const Account *a = &r->accounts[i];
+      Account *a = &r->accounts[i];
+
+      check_regained (r, a);
 
       INVARIANT ("budget_never_overspent", a->spent <= a->max_limit,
                  "account %s: spent %lld, limit %lld", a->name, (long long)a->spent,
@@ -173,15 +216,54 @@
   request->ends_ms
       = timers_now_ms (r->fixture->timers) + 30 + (int64_t)rng_exponential (&r->rng, 900);
   r->result->requests++;
-  budget_fixture_reserve (r->fixture, request->host, request->account->name, request->tokens,
-                          &request->reservation);
+  if (!rng_chance (&r->rng, PIECES_RATE))
+    {
+      budget_fixture_reserve (r->fixture, request->host, request->account->name, request->tokens,
+                              &request->reservation);
+      return;
+    }
+  request->in_pieces = true;
+  request->prompt = (Tokens)rng_below (&r->rng, (uint64_t)request->tokens);
+  request->tokens *= STATED_FACTOR;
+  budget_fixture_reserve_pieces (r->fixture, request->host, request->account->name, request->tokens,
+                                 request->prompt, &request->reservation);
+}
+
+static bool
+is_reserved (const SoakRequest *request)
+{
+  return request->active && request->reservation.handle && request->reservation.decided
+         && request->reservation.err == ERR_NONE;
+}
+
+/* Delivers what the request may use. The pace changes by the piece; some requests use all that they have stated. */
+static void
+deliver_piece (SoakRun *r, SoakRequest *request)
+{
+  Tokens piece = (Tokens)rng_exponential (&r->rng, rng_chance (&r->rng, 0.1) ? 600 : 30);
+  Tokens used = tokens_max (request->delivered, request->prompt) + piece;
+
+  used = tokens_min (used, request->tokens);
+  if (request->reservation.waits_for_cover || used == request->delivered)
+    return;
+  if (!budget_fixture_deliver (r->fixture, &request->reservation, used))
+    return;
+  request->account->spent += used - request->delivered;
+  request->delivered = used;
+}
+
+static void
+deliver_pieces (SoakRun *r)
+{
+  for (int i = 0; i < MAX_REQUESTS; i++)
+    if (r->requests[i].in_pieces && is_reserved (&r->requests[i]) && rng_chance (&r->rng, 0.3))
+      deliver_piece (r, &r->requests[i]);
 }
 
 static void
 end_request (SoakRun *r, SoakRequest *request)
 {
-  bool reserved = request->reservation.handle && request->reservation.decided
-                  && request->reservation.err == ERR_NONE;
+  bool reserved = is_reserved (request);
 
   request->active = false;
   if (!reserved)
@@ -192,6 +274,11 @@
         budget_fixture_settle (r->fixture, &request->reservation, 0);
       return;
     }
+  if (request->in_pieces)
+    {
+      budget_fixture_settle (r->fixture, &request->reservation, request->delivered);
+      return;
+    }
   if (rng_chance (&r->rng, 0.05))
     talloc_free (request->reservation.handle);
   else
@@ -215,7 +302,41 @@
       end_request (r, &r->requests[i]);
 }
 
-/* Reservations of the killed process count as spent, because its requests may have run. */
+/* @return the most that transactions without a known result may still obtain. */
+static Tokens
+tokens_on_the_way (const GrantClient *c)
+{
+  Tokens tokens = c->call ? tokens_max (c->sent.change, 0) : 0;
+
+  for (size_t i = 0; i < c->n_unresolved; i++)
+    tokens += tokens_max (c->unresolved[i].change, 0);
+  return tokens;
+}
+
+/* Tokens that the ending process holds and that nobody has used. */
+static void
+count_lost (SoakRun *r, int host)
+{
+  for (int i = 0; i < ACCOUNTS; i++)
+    {
+      Account *a = &r->accounts[i];
+      const AccountEntry *entry = account_on_host (r, a, host);
+
+      a->lost[host] += entry->state.balance + entry->state.returning
+                       + tokens_on_the_way (entry->grant_client);
+      a->regained[host] = 0;
+    }
+  for (int i = 0; i < MAX_REQUESTS; i++)
+    {
+      const SoakRequest *request = &r->requests[i];
+
+      if (request->host == host && request->in_pieces && is_reserved (request))
+        request->account->lost[host] += request->tokens - request->delivered;
+    }
+}
+
+/* Reservations of the killed process count as spent, because its requests may have run; of those that deliver in pieces,
+ * what they have delivered. */
 static void
 kill_host (SoakRun *r, int host)
 {
@@ -225,6 +346,10 @@
     return;
   trace (r, "kill host %d, down for %lld ms", host, (long long)down_ms);
   r->kills++;
+  r->kill_at_ms[host] = 0;
+  r->draining[host] = false;
+  check_accounts (r);
+  count_lost (r, host);
   for (int i = 0; i < MAX_REQUESTS; i++)
     {
       SoakRequest *request = &r->requests[i];
@@ -232,8 +357,8 @@
       if (!request->active || request->host != host)
         continue;
       request->active = false;
-      if (request->reservation.decided && request->reservation.err == ERR_NONE
-          && request->reservation.handle)
+      if (!request->in_pieces && request->reservation.decided
+          && request->reservation.err == ERR_NONE && request->reservation.handle)
         request->account->spent += request->tokens;
       talloc_free (request->reservation.handle);
     }
@@ -251,6 +376,8 @@
       {
         trace (r, "start host %d", i);
         r->down_until_ms[i] = 0;
+        if (rng_chance (&r->rng, 0.7))
+          r->fixture->hosts[i].store_client->drop_calls = false;
         budget_fixture_start (r->fixture, i);
         configure_host (r, i);
       }
@@ -304,6 +431,9 @@
 
   store_client->drop_calls = rng_chance (&r->rng, 0.25);
   store_client->refuse_calls = !store_client->drop_calls && rng_chance (&r->rng, 0.15);
+  if (store_client->drop_calls && rng_chance (&r->rng, 0.5))
+    r->kill_at_ms[host] = timers_now_ms (r->fixture->timers) + 1
+                          + (int64_t)rng_below (&r->rng, MAX_CUT_BEFORE_KILL_MS);
   store_client->lost_reply_rate = rng_chance (&r->rng, 0.4) ? rng_unit (&r->rng) * 0.6 : 0;
   store_client->delayed_apply_rate = rng_chance (&r->rng, 0.3) ? rng_unit (&r->rng) * 0.4 : 0;
   store_client->latency_ms = rng_chance (&r->rng, 0.2) ? 200 : 2;
@@ -351,6 +481,34 @@
     kill_all_hosts (r);
 }
 
+static void
+kill_planned (SoakRun *r)
+{
+  int64_t now = timers_now_ms (r->fixture->timers);
+
+  for (int i = 0; i < r->fixture->n_hosts; i++)
+    if (r->kill_at_ms[i] && now >= r->kill_at_ms[i])
+      kill_host (r, i);
+}
+
+/* A host that stops returns what it holds; it is killed before or after it is done. */
+static void
+drain_hosts (SoakRun *r)
+{
+  int host = (int)rng_below (&r->rng, (uint64_t)r->fixture->n_hosts);
+
+  if (rng_chance (&r->rng, 0.002) && r->fixture->hosts[host].budgets)
+    {
+      trace (r, "drain host %d", host);
+      r->draining[host] = true;
+      r->kill_at_ms[host] = timers_now_ms (r->fixture->timers) + 1
+                            + (int64_t)rng_below (&r->rng, MAX_CUT_BEFORE_KILL_MS);
+    }
+  for (int i = 0; i < r->fixture->n_hosts; i++)
+    if (r->draining[i])
+      budgets_return_all (r->fixture->hosts[i].budgets);
+}
+
 static void
 step (SoakRun *r)
 {
@@ -364,10 +522,14 @@
     inject_random_faults (r);
   if (r->inject_faults && rng_chance (&r->rng, 0.008))
     change_peer_network (r);
+  if (r->inject_faults && !r->options->store_restores)
+    drain_hosts (r);
+  kill_planned (r);
   start_hosts (r, false);
   if (rng_chance (&r->rng, 0.004))
     change_limit (r);
   budget_fixture_run (r->fixture, STEP_MS);
+  deliver_pieces (r);
   end_requests (r, false);
   check_accounts (r);
 }
--- a/tests/unit/budget_fixture.c
+++ b/tests/unit/budget_fixture.c
@@ -174,26 +174,57 @@
   reservation->err = err ? err->kind : ERR_NONE;
 }
 
-void
-budget_fixture_reserve (BudgetFixture *f, int host, const char *account, Tokens tokens,
-                        BudgetReservation *reservation)
+static void
+on_covered (void *data)
+{
+  ((BudgetReservation *)data)->waits_for_cover = false;
+}
+
+static void
+reserve (BudgetFixture *f, int host, ReserveRequest *request, BudgetReservation *reservation)
 {
-  ReserveRequest request = { .account = account,
-                             .tokens = tokens,
-                             .now_ms = timers_now_ms (f->timers),
-                             .callback_executor = { post_callback, f },
-                             .fn = on_reserve_result,
-                             .data = reservation };
   bool waits = false;
   Err err = ERR_INIT;
 
+  request->now_ms = timers_now_ms (f->timers);
+  request->callback_executor = (Executor){ post_callback, f };
+  request->fn = on_reserve_result;
+  request->data = reservation;
   *reservation = (BudgetReservation){ 0 };
   reservation->handle
-      = budgets_reserve (f->hosts[host].budgets, f->hosts[host].process, &request, &waits, &err);
+      = budgets_reserve (f->hosts[host].budgets, f->hosts[host].process, request, &waits, &err);
   reservation->decided = !reservation->handle || !waits;
   reservation->err = reservation->handle ? ERR_NONE : err.kind;
 }
 
+void
+budget_fixture_reserve (BudgetFixture *f, int host, const char *account, Tokens tokens,
+                        BudgetReservation *reservation)
+{
+  ReserveRequest request = { .account = account, .tokens = tokens };
+
+  reserve (f, host, &request, reservation);
+}
+
+void
+budget_fixture_reserve_pieces (BudgetFixture *f, int host, const char *account, Tokens tokens,
+                               Tokens first_tokens, BudgetReservation *reservation)
+{
+  ReserveRequest request = {
+    .account = account, .tokens = tokens, .first_tokens = first_tokens, .covered = on_covered
+  };
+
+  reserve (f, host, &request, reservation);
+}
+
+bool
+budget_fixture_deliver (BudgetFixture *f, BudgetReservation *reservation, Tokens tokens)
+{
+  reservation->waits_for_cover
+      = !reservation_cover (reservation->handle, tokens, timers_now_ms (f->timers));
+  return !reservation->waits_for_cover;
+}
+
 void
 budget_fixture_settle (BudgetFixture *f, BudgetReservation *reservation, Tokens spent)
 {
--- a/tests/unit/budget_fixture.h
+++ b/tests/unit/budget_fixture.h
@@ -37,9 +37,10 @@
 /** The reservation of one request and its outcome. */
 typedef struct
 {
-  Reservation *handle; /* NULL if refused at once or settled */
-  bool decided;        /* reserved or refused */
-  ErrKind err;         /* why it was refused; ERR_NONE: reserved, or not decided yet */
+  Reservation *handle;  /* NULL if refused at once or settled */
+  bool decided;         /* reserved or refused */
+  ErrKind err;          /* why it was refused; ERR_NONE: reserved, or not decided yet */
+  bool waits_for_cover; /* the next piece must not be delivered yet */
 } BudgetReservation;
 
 /** @return a talloc object without a parent: the fixture with @p hosts running hosts. */
@@ -62,6 +63,13 @@
 void budget_fixture_reserve (BudgetFixture *f, int host, const char *account, Tokens tokens,
                              BudgetReservation *reservation);
 
+/** The same for a request that delivers its answer in pieces, the first of which costs @p first_tokens. */
+void budget_fixture_reserve_pieces (BudgetFixture *f, int host, const char *account, Tokens tokens,
+                                    Tokens first_tokens, BudgetReservation *reservation);
+
+/** Delivers a piece with which the request has used @p tokens. @return false if it must wait. */
+bool budget_fixture_deliver (BudgetFixture *f, BudgetReservation *reservation, Tokens tokens);
+
 /** Ends a reservation with the number of tokens spent; 0 if the tokens are not reserved yet. */
 void budget_fixture_settle (BudgetFixture *f, BudgetReservation *reservation, Tokens spent);
 
--- a/tests/unit/test_ceilings.c
+++ b/tests/unit/test_ceilings.c
@@ -190,7 +190,8 @@
 static void
 malformed_ceiling_is_rejected (void)
 {
-  static const char *const TEXTS[] = { "5", "[1,2]", "[1,2,3,4]", "[5,1,4]", "[-1,1,4]", "{}" };
+  static const char *const TEXTS[]
+      = { "5", "[1,2]", "[1,2,3,4]", "[5,1,4]", "[-1,1,-2]", "[-1,-1,4]", "{}" };
   Ceiling c = { 1000, 500, 4000 };
   Ceiling parsed = { 0 };
   json_t *json = ceiling_to_json (&c);
--- a/tests/unit/test_heads.c
+++ b/tests/unit/test_heads.c
@@ -306,7 +306,8 @@
 
   fixture_start (&f);
   request = make_request (&f, 100, 20 * MAX_HEAD_BYTES);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (request);
+  if (!request)
+    abort ();
   send_bytes (&f, f.fd, request, strlen (request) - 4);
   wait_for_answer (&f, f.fd);
   CU_ASSERT_PTR_NOT_NULL (strstr (f.received, "HTTP/1.1 431"));
