--- a/src/relay/relay_counters.c
+++ b/src/relay/relay_counters.c
@@ -27,6 +27,8 @@
                      "Second answers behind a response without a length, left out.");
   counters.stream_pauses
       = counter_get ("pond_stream_pauses_total", "", "Streams held back for a slow reader.");
+  counters.budget_pauses = counter_get ("pond_stream_budget_pauses_total", "",
+                                        "Streams held back until more of their budget is covered.");
   counters.tokens_delivered
       = counter_get ("pond_tokens_delivered_total", "", "Tokens of answers passed on.");
   counters.usage_rejected = counter_get ("pond_usage_rejected_total", "",
--- a/src/relay/relay_counters.h
+++ b/src/relay/relay_counters.h
@@ -15,6 +15,7 @@
   Counter *ends_unproved;
   Counter *extra_answers;
   Counter *stream_pauses; /* times that a stream waited for a slow client */
+  Counter *budget_pauses; /* times that a stream waited until more of its reservation was covered */
   Counter *tokens_delivered;
   Counter *usage_rejected;
   Histogram *duration;
--- a/src/relay/relay_stream.c
+++ b/src/relay/relay_stream.c
@@ -134,11 +134,16 @@
 BackendFlow
 relay_stream_bytes (Relay *r, Attempt *a, const char *bytes, size_t len)
 {
-  if (r->write_blocked || !is_covered (r, bytes, len))
+  if (r->write_blocked)
     {
       counter_add (relay_counters ()->stream_pauses, 1);
       return BACKEND_PAUSE;
     }
+  if (!is_covered (r, bytes, len))
+    {
+      counter_add (relay_counters ()->budget_pauses, 1);
+      return BACKEND_PAUSE;
+    }
   if (sse_feed (&a->sse, a, bytes, len, on_event, a))
     return BACKEND_CONTINUE;
   if (a->check == RESPONSE_VALID)
