relay: a status that HTTP does not have is no answer

Cause: the head was judged by its id and seal alone; libcurl rejects what has no three digits and less than 100, and passes on 600 to 999. Change: outside 200 to 599 the answer counts as a failure of the server, whatever it promises (RFC 9110, section 15): 502, or another attempt.

Test, status_that_http_does_not_have_is_no_answer (0, 1, 99, 101, 199, 600, 700, 999; streams, repeatable and other requests): before test_relay 15 passed, 1 failed; after 16 passed, 0 failed.

--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -262,9 +262,19 @@
   return true;
 }
 
+/* Interim answers (1xx) are not reported; a status that HTTP does not have counts as a failure of the server (RFC 9110,
+ * section 15), whatever its answer promises. */
+static bool
+is_final_status (int status)
+{
+  return status >= 200 && status <= 599;
+}
+
 static ResponseCheck
 check_head (const Attempt *a)
 {
+  if (!is_final_status (a->head.status))
+    return RESPONSE_INVALID;
   if (a->head.misdirected)
     return RESPONSE_MISDIRECTED;
   if (a->head.not_run)
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -363,10 +363,35 @@
   relay_fixture_free (f);
 }
 
+/* Guards against an answer that is none: a server in trouble sends a status that HTTP does not have (RFC 9110, section 15), with all
+ * else as in an answer that counts. */
+static void
+status_that_http_does_not_have_is_no_answer (void)
+{
+  static const int STATUSES[] = { 0, 1, 99, 101, 199, 600, 700, 999 };
+  static const CallKind KINDS[] = { CALL_STREAM, CALL_IDEMPOTENT, CALL_NON_IDEMPOTENT };
+
+  for (size_t s = 0; s < sizeof STATUSES / sizeof STATUSES[0]; s++)
+    for (size_t k = 0; k < sizeof KINDS / sizeof KINDS[0]; k++)
+      {
+        RelayFixture *f = relay_fixture_new (KINDS[k]);
+
+        f->request.max_attempts = 1;
+        relay_fixture_start (f);
+        relay_fixture_send_head (f, STATUSES[s]);
+        fake_backend_send_body (relay_fixture_last_call (f), "part");
+        fake_backend_end_response (relay_fixture_last_call (f));
+        CU_ASSERT_EQUAL (f->status, 502);
+        CU_ASSERT_EQUAL (f->backend->n_calls, 1);
+        relay_fixture_free (f);
+      }
+}
+
 int
 main (void)
 {
   static const TestCase CASES[] = {
+    { "status_that_http_does_not_have_is_no_answer", status_that_http_does_not_have_is_no_answer },
     { "response_is_forwarded_completely", response_is_forwarded_completely },
     { "non_repeatable_request_is_retried_only_if_it_did_not_run",
       non_repeatable_request_is_retried_only_if_it_did_not_run },
