http: reject requests that readers understand in different ways

Change: head_scan.c reads the head's bytes before the library (RFC 9112, 2.2, 5.1, 5.2; RFC 9110, 5.5, 5.6.2); chunks in HTTP/1.0, several Hosts and a foreign absolute target are rejected with the faults of framing. 400, and the connection ends.

--- a/src/http/call_request.c
+++ b/src/http/call_request.c
@@ -64,14 +64,41 @@
   Framing f = { 0 };
 
   http_call_each_header (call, check_framing_header, &f);
-  return f.malformed || f.n_content_lengths + f.n_transfer_encodings > 1;
+  return f.malformed || f.n_content_lengths + f.n_transfer_encodings > 1
+         || (f.n_transfer_encodings > 0 && !call->accepts_chunks);
 }
 
-/* RFC 9112, section 3.2. */
+static void
+count_host (void *data, const char *name, const char *value)
+{
+  (void)value;
+  *(int *)data += !strcasecmp (name, "Host");
+}
+
+/* @return whether the target names another host than @p host does. */
 static bool
-lacks_host (const HttpCall *call)
+names_another_host (const char *target, const char *host)
 {
-  return call->accepts_chunks && !http_call_header (call, "Host");
+  static const char SCHEME[] = "http://";
+  size_t len;
+
+  if (strncasecmp (target, SCHEME, sizeof SCHEME - 1) != 0)
+    return false;
+  target += sizeof SCHEME - 1;
+  len = strcspn (target, "/?#");
+  return len != strlen (host) || strncasecmp (target, host, len) != 0;
+}
+
+/* Readers may choose one of several names (RFC 9112, section 3.2). */
+static bool
+host_is_ambiguous (const HttpCall *call)
+{
+  const char *host = http_call_header (call, "Host");
+  int n = 0;
+
+  http_call_each_header (call, count_host, &n);
+  return n > 1 || (!host && call->accepts_chunks)
+         || (host && names_another_host (http_call_target (call), host));
 }
 
 /* --- Body -------------------------------------------------------------------------------- */
@@ -118,7 +145,7 @@
       call->fault = HTTP_FAULT_HEADERS_TOO_LARGE;
       return true;
     }
-  if (framing_is_ambiguous (call) || lacks_host (call))
+  if (framing_is_ambiguous (call) || host_is_ambiguous (call))
     call->fault = HTTP_FAULT_FRAMING;
   if (call->fault)
     return false;
--- a/src/http/request_parser.c
+++ b/src/http/request_parser.c
@@ -114,6 +114,7 @@
 {
   http_parser_init (&c->parser, HTTP_REQUEST);
   c->parser.data = c;
+  c->scan = (HeadScan){ 0 };
 }
 
 /* What follows cannot be told from the rest of this request. */
@@ -145,9 +146,16 @@
 size_t
 request_parser_read (Connection *c, const char *bytes, size_t len)
 {
-  size_t n = http_parser_execute (&c->parser, &SETTINGS, bytes, len);
-  enum http_errno error = HTTP_PARSER_ERRNO (&c->parser);
+  enum http_errno error;
+  size_t n;
 
+  if (!head_scan (&c->scan, bytes, len))
+    {
+      fail (c, HTTP_FAULT_FRAMING);
+      return len;
+    }
+  n = http_parser_execute (&c->parser, &SETTINGS, bytes, len);
+  error = HTTP_PARSER_ERRNO (&c->parser);
   if (error != HPE_OK && error != HPE_PAUSED)
     {
       fail (c, HTTP_FAULT_FRAMING);
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -7,6 +7,7 @@
 #include <http_parser.h>
 
 #include "core/list.h"
+#include "http/head_scan.h"
 #include "http/listener.h"
 #include "http/output_buffer.h"
 #include "http/request_head.h"
@@ -50,7 +51,8 @@
   struct tevent_fd *event;
   struct tevent_immediate *progress_event;
   http_parser parser;
-  char *unread; /* bytes behind the request that is being answered; NULL: none */
+  HeadScan scan; /* of the request that the parser reads */
+  char *unread;  /* bytes behind the request that is being answered; NULL: none */
   size_t n_unread;
   OutputBuffer output;
   bool is_draining; /* the last response has been sent; what the client still sends is discarded */
