http, tunnel: an answer that ends before the request was read is not whole

Cause: with the rest of the upload on the way the server's end comes in order, and the reset after it. libcurl reports success with the upload not sent. Asking whether the server runs proves nothing: it does.

--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -36,6 +36,8 @@
   int64_t last_step_ms; /* when it opened a connection or, later, started the request; 0: not yet */
   bool in_multi;
   int opened_fd;         /* of the connection that it opened */
+  int used_fd;           /* of the connection that carries it; -1: none yet */
+  bool closed_unread;    /* its connection was closed before the other end had all of the request */
   bool stale_connection; /* the connection that libcurl chose must not be used */
   bool request_started;  /* libcurl has started to send the request on a connection */
   bool response_started; /* bytes of the response have arrived */
--- a/src/http/connection_table.c
+++ b/src/http/connection_table.c
@@ -13,6 +13,7 @@
   GHashTable *ends;    /* the hash of the ends, by fd */
   GHashTable *doubted; /* fds */
   GHashTable *proved;  /* fds */
+  GHashTable *users;   /* by fd */
 };
 
 static int
@@ -22,6 +23,7 @@
   g_hash_table_unref (t->ends);
   g_hash_table_unref (t->doubted);
   g_hash_table_unref (t->proved);
+  g_hash_table_unref (t->users);
   return 0;
 }
 
@@ -34,6 +36,7 @@
   t->ends = g_hash_table_new (g_direct_hash, g_direct_equal);
   t->doubted = g_hash_table_new (g_direct_hash, g_direct_equal);
   t->proved = g_hash_table_new (g_direct_hash, g_direct_equal);
+  t->users = g_hash_table_new (g_direct_hash, g_direct_equal);
   talloc_set_destructor (t, table_destroy);
   return t;
 }
@@ -66,6 +69,7 @@
   g_hash_table_remove (t->ends, GINT_TO_POINTER (fd));
   g_hash_table_remove (t->doubted, GINT_TO_POINTER (fd));
   g_hash_table_remove (t->proved, GINT_TO_POINTER (fd));
+  g_hash_table_remove (t->users, GINT_TO_POINTER (fd));
   if (GPOINTER_TO_INT (g_hash_table_lookup (t->fds, hash)) == fd)
     g_hash_table_remove (t->fds, hash);
 }
@@ -78,6 +82,21 @@
   return g_hash_table_lookup_extended (t->fds, hash_of (e), NULL, &fd) ? GPOINTER_TO_INT (fd) : -1;
 }
 
+void
+connection_table_set_user (ConnectionTable *t, int fd, void *user)
+{
+  if (user)
+    g_hash_table_insert (t->users, GINT_TO_POINTER (fd), user);
+  else
+    g_hash_table_remove (t->users, GINT_TO_POINTER (fd));
+}
+
+void *
+connection_table_user (const ConnectionTable *t, int fd)
+{
+  return g_hash_table_lookup (t->users, GINT_TO_POINTER (fd));
+}
+
 size_t
 connection_table_doubt_all (ConnectionTable *t)
 {
--- a/src/http/connection_table.h
+++ b/src/http/connection_table.h
@@ -25,6 +25,12 @@
 /** Removes the connection of a socket that is about to be closed; one that is not in the table is ignored. */
 void connection_table_remove (ConnectionTable *table, int fd);
 
+/** Until it is removed, or another user is set, the connection serves @p user; NULL: none. */
+void connection_table_set_user (ConnectionTable *table, int fd, void *user);
+
+/** @return the user of the connection, or NULL. */
+void *connection_table_user (const ConnectionTable *table, int fd);
+
 /** From now on the connections that are in the table are in doubt. @return how many of them were not before. */
 size_t connection_table_doubt_all (ConnectionTable *table);
 
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -1,8 +1,10 @@
 #include "http/client_impl.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -79,13 +81,25 @@
   return x->is_head || status == 204 || status == 304 || is_chunked (x) || has_length (x);
 }
 
+/* A server that closes its connection with a part of the request still on the way resets it then, and only its kernel knows
+ * whether its response had come to an end: libcurl sees the end in order that comes first. */
+static bool
+request_was_read (HttpExchange *x)
+{
+  curl_off_t uploaded = 0;
+
+  curl_easy_getinfo (x->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+  return (size_t)uploaded == x->body_len && !x->closed_unread;
+}
+
 static HttpResult
 result_of (HttpExchange *x, CURLcode code)
 {
   bool is_complete = code == CURLE_OK && !x->aborted;
 
   /* libcurl takes a connection that is closed in the middle of a head for the end of a response without a body. */
-  if (is_complete && x->head_complete && (x->proves_end || http_exchange_has_framed_end (x)))
+  if (is_complete && x->head_complete
+      && (http_exchange_has_framed_end (x) || (x->proves_end && request_was_read (x))))
     return HTTP_COMPLETE;
   return failure_of (x, code == CURLE_OPERATION_TIMEDOUT || x->timed_out);
 }
@@ -108,6 +122,8 @@
   if (x->in_multi)
     curl_multi_remove_handle (x->client->multi, x->easy);
   x->in_multi = false;
+  if (connection_table_user (x->client->connections, x->used_fd) == x)
+    connection_table_set_user (x->client->connections, x->used_fd, NULL);
 }
 
 static int64_t
@@ -343,7 +359,11 @@
 close_socket (void *data, curl_socket_t fd)
 {
   HttpClient *client = data;
+  HttpExchange *x = connection_table_user (client->connections, fd);
+  int unread = 0;
 
+  if (x && ioctl (fd, SIOCOUTQ, &unread) == 0)
+    x->closed_unread = unread > 0;
   connection_table_remove (client->connections, fd);
   return close (fd);
 }
@@ -400,6 +420,8 @@
   if (x->stale_connection)
     return CURL_PREREQFUNC_ABORT;
   x->proves_end = connection_proves_end (x, fd);
+  x->used_fd = fd;
+  connection_table_set_user (connections, fd, x);
   x->request_started = true;
   x->last_step_ms = timers_now_ms (loop_timers (x->client->loop));
   return CURL_PREREQFUNC_OK;
@@ -496,6 +518,7 @@
   if (!x)
     return NULL;
   x->client = client;
+  x->used_fd = -1;
   x->is_control = request->is_control;
   x->is_head = !strcmp (request->method, "HEAD");
   x->uses_tunnel = request->tunnel_over != NULL;
--- a/src/tunnel/tunnel.c
+++ b/src/tunnel/tunnel.c
@@ -2,10 +2,12 @@
 
 #include <errno.h>
 #include <inttypes.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -32,6 +34,10 @@
 /* Of bytes that one side has sent and the other has not taken. */
 #define BUFFER_BYTES 16384
 
+/* What the other host has not got yet is waited for so often before the tunnel is reset. */
+#define FLUSH_INTERVAL_MS 10
+#define MAX_FLUSHES       100
+
 typedef struct
 {
   char *bytes;
@@ -65,6 +71,7 @@
   Side server;
   char address[ADDRESS_BYTES]; /* of the server */
   Timer *limit;
+  int n_flushes;
   int64_t passed_ms;  /* when bytes passed last */
   bool awaits_server; /* they came from the other host */
   uint64_t bytes;
@@ -112,12 +119,64 @@
   talloc_free (t);
 }
 
-/* The server has closed its connection, and the other host has been sent all that came before. */
+static size_t
+buffered (const Buffer *b)
+{
+  return b->end - b->start;
+}
+
+static int
+bytes_on_the_way (const Side *s)
+{
+  int n = 0;
+
+  return ioctl (s->fd, SIOCOUTQ, &n) == 0 ? n : 0;
+}
+
+static int
+bytes_not_read (const Side *s)
+{
+  int n = 0;
+
+  return ioctl (s->fd, FIONREAD, &n) == 0 ? n : 0;
+}
+
+/* A server that closes before it has read the whole request resets the connection then: its end in order proves nothing. */
+static bool
+server_has_read_all (const Tunnel *t)
+{
+  return buffered (&t->host.received) == 0 && bytes_not_read (&t->host) == 0
+         && bytes_on_the_way (&t->server) == 0;
+}
+
 static void
-end_in_order (Tunnel *t)
+reset_when_sent (void *data)
 {
-  set_reset_on_close (&t->host, false);
-  talloc_free (t);
+  Tunnel *t = data;
+
+  t->limit = NULL;
+  if (bytes_on_the_way (&t->host) == 0 || ++t->n_flushes > MAX_FLUSHES)
+    reset (t, &t->host);
+  else
+    t->limit
+        = timers_start (loop_timers (t->options.loop), t, FLUSH_INTERVAL_MS, reset_when_sent, t);
+}
+
+/* The server has closed its connection, and the other host has been sent all that came before. A reset would discard what
+ * the other host has not got yet, which may be a whole response. */
+static void
+end (Tunnel *t)
+{
+  if (server_has_read_all (t))
+    {
+      set_reset_on_close (&t->host, false);
+      talloc_free (t);
+      return;
+    }
+  TALLOC_FREE (t->host.event);
+  TALLOC_FREE (t->server.event);
+  TALLOC_FREE (t->limit);
+  reset_when_sent (t);
 }
 
 static void
@@ -143,12 +202,6 @@
 
 /* --- Bytes ------------------------------------------------------------------------------- */
 
-static size_t
-buffered (const Buffer *b)
-{
-  return b->end - b->start;
-}
-
 static void
 update_events (Tunnel *t)
 {
@@ -238,7 +291,7 @@
   if (t->host.ended)
     talloc_free (t);
   else if (has_ended_in_order (t))
-    end_in_order (t);
+    end (t);
   else
     update_events (t);
 }
