http: deliver a whole answer although its request could not be sent whole

Seen by callers: 502 for a request whose server had answered with a length and a whole body, and closed before it had read the whole upload; bookings that ran are among such requests. Cause: libcurl goes on sending after the response is whole, and reports the failed send. Change: a response with a length of which every byte has come is complete.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -92,10 +92,24 @@
   return (size_t)uploaded == x->body_len && !x->closed_unread;
 }
 
+/* @return whether all of a response with a length has come, although the rest of its request could not be sent. */
+static bool
+has_come_whole (HttpExchange *x, CURLcode code)
+{
+  curl_off_t length = -1;
+  curl_off_t received = 0;
+
+  if (code != CURLE_SEND_ERROR || x->is_head || is_chunked (x))
+    return false;
+  curl_easy_getinfo (x->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+  curl_easy_getinfo (x->easy, CURLINFO_SIZE_DOWNLOAD_T, &received);
+  return length >= 0 && received == length;
+}
+
 static HttpResult
 result_of (HttpExchange *x, CURLcode code)
 {
-  bool is_complete = code == CURLE_OK && !x->aborted;
+  bool is_complete = (code == CURLE_OK || has_come_whole (x, code)) && !x->aborted;
 
   /* libcurl takes a connection that is closed in the middle of a head for the end of a response without a body. */
   if (is_complete && x->head_complete
--- a/tests/unit/test_early_answers.c
+++ b/tests/unit/test_early_answers.c
@@ -59,6 +59,7 @@
 } EarlyFixture;
 
 static const char UNFRAMED[] = "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\npart of the answer";
+static const char FRAMED[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
 static const char CHUNKED[]
     = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n100\r\nof";
 static const char AFTER_INTERIM[]
@@ -272,7 +273,25 @@
   play_forms (AFTER_INTERIM);
 }
 
+/* Guards against a whole answer that is lost because its server does not want the rest of the request. */
+static void
+answer_with_a_length_is_whole (void)
+{
+  for (int form = 0; form < 4; form++)
+    {
+      ServerPlan plan = { .answer = FRAMED,
+                          .reads = READ_SOME,
+                          .end = END_HALF_OPEN,
+                          .answers_first = form & 1,
+                          .over_helper = form & 2 };
+
+      for (int i = 0; i < N_PLAYS; i++)
+        CU_ASSERT_EQUAL (play (&plan), HTTP_COMPLETE);
+    }
+}
+
 static const TestCase CASES[] = {
+  { "answer_with_a_length_is_whole", answer_with_a_length_is_whole },
   { "reset_during_an_upload_is_no_end_of_an_answer",
     reset_during_an_upload_is_no_end_of_an_answer },
   { "reset_during_an_upload_is_no_end_of_chunks", reset_during_an_upload_is_no_end_of_chunks },
