http, host: close the longest idle connection when connections run out

Cause: idle connections count like those in use, the listener waits at max_streams, and readiness does not know.

Change: the connection that has been idle for longest is closed for a new one, never one with unread bytes; the listener waits only if all are in use, or bytes are on the way on all idle ones (one more than the limit may then be taken). Not ready from 95 % in use on, ready again below 85 % (connection_room.c).

--- a/src/entry/frontend_call.c
+++ b/src/entry/frontend_call.c
@@ -93,7 +93,8 @@
       err->retry_after_ms = NO_ROOM_RETRY_MS;
       return err_set (err, ERR_OVERLOADED, "other requests' bodies use up the memory for them");
     case HTTP_FAULT_FRAMING:
-      return err_set (err, ERR_BAD_REQUEST, "the request is malformed, or where it ends is ambiguous");
+      return err_set (err, ERR_BAD_REQUEST,
+                      "the request is malformed, or where it ends is ambiguous");
     case HTTP_FAULT_NONE:
       break;
     }
--- a/src/host/host.c
+++ b/src/host/host.c
@@ -231,6 +231,7 @@
 
   options.dialect = s->platform_interface ? platform_dialect ()
                                           : native_dialect_new (h, s->host_name, h->incarnation);
+  h->room.max_connections = (size_t)s->max_streams;
   h->frontend = frontend_new (h, &options);
   return h->frontend != NULL;
 }
--- a/src/host/host_impl.h
+++ b/src/host/host_impl.h
@@ -7,6 +7,7 @@
 #include "dispatch/load_sharing.h"
 #include "entry/frontend.h"
 #include "entry/admission_gate.h"
+#include "entry/connection_room.h"
 #include "entry/readiness_server.h"
 #include "entry/rotation_peers.h"
 #include "fleet/config_source.h"
@@ -50,6 +51,7 @@
   RotationState rotation_sent; /* last state sent to the other hosts of the data centre */
   int64_t rotation_sent_ms;
   AdmissionGate gate;
+  ConnectionRoom room;
   OperatorServer *operator_server;
   int64_t drain_started_ms; /* 0: not draining */
   bool closing_connections; /* responses close their connections */
--- a/src/host/host_state.c
+++ b/src/host/host_state.c
@@ -5,13 +5,26 @@
 
 #include "host/host_impl.h"
 
+static bool
+has_room (Host *h)
+{
+  bool was_full = h->room.is_full;
+  size_t in_use = h->frontend ? frontend_open_requests (h->frontend) : 0;
+  bool has = connection_room_update (&h->room, in_use);
+
+  if (was_full == has)
+    log_event (LOG_LEVEL_NOTICE, "host", has ? "room_again" : "full", "in_use=%zu max=%zu", in_use,
+               h->room.max_connections);
+  return has;
+}
+
 bool
 host_is_ready (void *data)
 {
   Host *h = data;
   const Catalog *catalog = current_catalog_get (h->catalog);
   bool ready = catalog && h->drain_started_ms == 0 && config_source_is_synced (h->config_source)
-               && rotation_is_in (&h->rotation);
+               && rotation_is_in (&h->rotation) && has_room (h);
 
   catalog_unref (catalog);
   return ready;
--- a/src/http/call_request.c
+++ b/src/http/call_request.c
@@ -27,6 +27,7 @@
   call->started_us = loop_monotonic_us ();
   call->started_ms = timers_now_ms (loop_timers (server->loop));
   server->open_calls++;
+  connection_set_busy (c);
   return call;
 }
 
--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -9,17 +9,45 @@
 
 #include <talloc.h>
 
+#include "core/counter.h"
+
 /* The kernel resets a connection that is closed with unread bytes, and a client that is still sending would lose its
  * response: this much of what it sends is discarded before. */
 #define MAX_DRAINED_BYTES ((size_t)256 << 10)
 
 /* --- Start and end ----------------------------------------------------------------------- */
 
+/* Connections above the limit wait in the listen backlog until another one ends or is idle. */
+static void
+update_listener (HttpServer *server)
+{
+  bool is_full = server->n_connections >= server->max_connections
+                 && (server->has_no_room || list_is_empty (&server->idle));
+
+  if (server->listener)
+    listener_pause (server->listener, is_full);
+}
+
+void
+connection_set_busy (Connection *c)
+{
+  if (!c->is_idle)
+    return;
+  c->is_idle = false;
+  list_remove (&c->idle_node);
+  update_listener (c->server);
+}
+
 void
 connection_set_idle (Connection *c)
 {
   c->idle_since_ms = timers_now_ms (loop_timers (c->server->loop));
   c->idle_limit_ms = c->server->idle_timeout_ms;
+  connection_set_busy (c);
+  c->is_idle = true;
+  c->server->has_no_room = false;
+  list_append (&c->server->idle, &c->idle_node);
+  update_listener (c->server);
 }
 
 /* Without chunks the end of the connection would make a response that was broken off look complete. */
@@ -47,10 +75,11 @@
   close (c->fd);
   list_remove (&c->node);
   server->n_connections--;
+  server->has_no_room = false;
   if (call)
     call_finish (call);
-  if (server->listener)
-    listener_pause (server->listener, server->n_connections >= server->max_connections);
+  connection_set_busy (c);
+  update_listener (server);
   talloc_free (c);
 }
 
@@ -258,20 +287,45 @@
     receive (data);
 }
 
+/* Those with bytes on the way are left alone: a request may be among them. */
+void
+server_make_room (HttpServer *server)
+{
+  if (server->n_connections < server->max_connections)
+    return;
+  for (ListNode *n = list_first (&server->idle); n; n = list_next (&server->idle, n))
+    {
+      Connection *c = LIST_ENTRY (n, Connection, idle_node);
+
+      if (connection_has_unread_bytes (c))
+        continue;
+      counter_add (counter_get ("pond_idle_connections_closed_total", "",
+                                "Idle connections closed to make room for others."),
+                   1);
+      connection_close (c);
+      return;
+    }
+  server->has_no_room = true;
+}
+
 void
 connection_add (HttpServer *server, int fd)
 {
   Connection *c = talloc_zero (server, Connection);
   struct epoll_event hangup = { .events = EPOLLRDHUP | EPOLLET, .data = { .ptr = c } };
+  bool has_no_room;
   int on = 1;
 
   c->server = server;
   c->fd = fd;
   request_parser_init (c);
-  connection_set_idle (c);
+  server_make_room (server);
+  has_no_room = server->has_no_room;
   list_append (&server->connections, &c->node);
   server->n_connections++;
-  listener_pause (server->listener, server->n_connections >= server->max_connections);
+  connection_set_idle (c);
+  server->has_no_room = has_no_room;
+  update_listener (server);
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   epoll_ctl (server->hangup_fd, EPOLL_CTL_ADD, fd, &hangup);
   c->event = tevent_add_fd (loop_tevent (server->loop), c, fd, TEVENT_FD_READ, on_ready, c);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -201,6 +201,7 @@
   server->timeout_body
       = talloc_strdup (server, options->timeout_body ? options->timeout_body : "{}");
   list_init (&server->connections);
+  list_init (&server->idle);
   server->hangup_fd = epoll_create1 (EPOLL_CLOEXEC);
   talloc_set_destructor (server, server_destroy);
   server->receive_buffer = talloc_size (server, HTTP_RECEIVE_BYTES);
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -37,14 +37,18 @@
   struct tevent_fd *hangup_event;
   Listener *listener;
   List connections;
-  size_t n_connections;
+  List idle;            /* of Connection, by idle_node: between requests, the longest idle first */
+  size_t n_connections; /* at most one more than max_connections */
   size_t max_connections;
+  bool has_no_room; /* bytes are on the way on all idle connections */
   size_t open_calls;
 };
 
 struct Connection
 {
   ListNode node;
+  ListNode idle_node;
+  bool is_idle; /* in the server's list */
   HttpServer *server;
   HttpCall *call; /* NULL between requests */
   int fd;
@@ -100,6 +104,12 @@
 /** The connection waits for its next request from now on. */
 void connection_set_idle (Connection *connection);
 
+/** A request has begun on the connection, or it is about to end. */
+void connection_set_busy (Connection *connection);
+
+/** Makes room for a connection, if there are as many as are allowed, by closing the one that has been idle for longest. */
+void server_make_room (HttpServer *server);
+
 /** Sends what waits, and goes on with the connection, once the loop has returned from the current event. */
 void connection_schedule_progress (Connection *connection);
 
--- a/tests/unit/test_client_connections.c
+++ b/tests/unit/test_client_connections.c
@@ -9,14 +9,16 @@
 
 #include <talloc.h>
 
+#include "entry/connection_room.h"
 #include "harness.h"
 #include "http/server.h"
 
-#define SWEEP_MS       1000 /* interval at which the server looks for expired connections */
-#define WAIT_LIMIT_MS  20000
-#define SHORT_LIMIT_MS 300
-#define LONG_LIMIT_MS  15000
-#define LONG_BODY      200000 /* more than the server reads at once, less than socket buffers hold */
+#define SWEEP_MS        1000 /* interval at which the server looks for expired connections */
+#define WAIT_LIMIT_MS   20000
+#define SHORT_LIMIT_MS  300
+#define LONG_LIMIT_MS   15000
+#define MAX_CONNECTIONS 8
+#define LONG_BODY       200000 /* more than the server reads at once, less than socket buffers hold */
 
 static const char REQUEST[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
@@ -63,7 +65,7 @@
                                 .max_header_bytes = 1000,
                                 .read_timeout_ms = read_timeout_ms,
                                 .idle_timeout_ms = idle_timeout_ms,
-                                .max_connections = 8,
+                                .max_connections = MAX_CONNECTIONS,
                                 .events = &EVENTS,
                                 .data = f };
   struct sockaddr_in address = { .sin_family = AF_INET };
@@ -336,7 +338,130 @@
     }
 }
 
+/* @return a connection that has got an answer and is kept. */
+static int
+keep_connection (ConnectionFixture *f)
+{
+  int first = f->fd;
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_port = htons (http_server_port (f->server));
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  f->fd = fd;
+  f->closed = false;
+  f->n_received = 0;
+  send_bytes (f, REQUEST, strlen (REQUEST));
+  if (!f->holds_requests)
+    wait_for_bytes_or_close (f);
+  f->fd = first;
+  return fd;
+}
+
+static bool
+is_closed (ConnectionFixture *f, int fd)
+{
+  char byte;
+
+  run_loop_for (f, 20);
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/* Guards against a host that takes no new client because others keep connections that they do not use. */
+static void
+longest_idle_connection_makes_room (void)
+{
+  ConnectionFixture f;
+  int fds[2 * MAX_CONNECTIONS];
+
+  fixture_start (&f, LONG_LIMIT_MS, LONG_LIMIT_MS);
+  exchange (&f);
+  for (int i = 0; i < 2 * MAX_CONNECTIONS; i++)
+    {
+      fds[i] = keep_connection (&f);
+      CU_ASSERT_PTR_NOT_NULL (strstr (f.received, "HTTP/1.1 200"));
+    }
+  for (int i = 0; i < 2 * MAX_CONNECTIONS; i++)
+    {
+      CU_ASSERT_EQUAL (is_closed (&f, fds[i]), i < MAX_CONNECTIONS);
+      close (fds[i]);
+    }
+  fixture_stop (&f);
+}
+
+/* The first connection has been idle for longest, but its next request is on the way. */
+static void
+connection_with_bytes_on_the_way_stays (void)
+{
+  ConnectionFixture f;
+  int fds[MAX_CONNECTIONS];
+
+  fixture_start (&f, LONG_LIMIT_MS, LONG_LIMIT_MS);
+  exchange (&f);
+  for (int i = 0; i < MAX_CONNECTIONS - 1; i++)
+    fds[i] = keep_connection (&f);
+  send_bytes (&f, REQUEST, strlen (REQUEST));
+  fds[MAX_CONNECTIONS - 1] = keep_connection (&f);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.received, "HTTP/1.1 200"));
+  f.n_received = 0;
+  f.closed = false;
+  wait_for_bytes_or_close (&f);
+  CU_ASSERT_FALSE (f.closed);
+  CU_ASSERT_PTR_NOT_NULL (strstr (f.received, "HTTP/1.1 200"));
+  for (int i = 0; i < MAX_CONNECTIONS; i++)
+    close (fds[i]);
+  fixture_stop (&f);
+}
+
+/* All connections are in use: others wait, and none of them is closed for those. One more than the limit is taken, since all bytes were
+ * still on the way when it came. */
+static void
+connections_in_use_stay (void)
+{
+  ConnectionFixture f;
+  int fds[MAX_CONNECTIONS + 4];
+
+  fixture_start (&f, LONG_LIMIT_MS, LONG_LIMIT_MS);
+  close (f.fd);
+  run_loop_for (&f, 20);
+  f.holds_requests = true;
+  for (int i = 0; i < MAX_CONNECTIONS + 4; i++)
+    fds[i] = keep_connection (&f);
+  run_loop_for (&f, 100);
+  CU_ASSERT_EQUAL (f.n_held, MAX_CONNECTIONS + 1);
+  close (fds[0]);
+  close (fds[1]);
+  run_loop_for (&f, 100);
+  CU_ASSERT_EQUAL (f.n_held, MAX_CONNECTIONS + 1 + 2);
+  for (int i = 2; i < MAX_CONNECTIONS + 4; i++)
+    {
+      CU_ASSERT_FALSE (is_closed (&f, fds[i]));
+      close (fds[i]);
+    }
+  f.fd = socket (AF_INET, SOCK_STREAM, 0);
+  fixture_stop (&f);
+}
+
+static void
+host_is_full_before_its_connections_are_used_up (void)
+{
+  ConnectionRoom room = { .max_connections = 1000 };
+
+  CU_ASSERT_TRUE (connection_room_update (&room, 949));
+  CU_ASSERT_FALSE (connection_room_update (&room, 950));
+  CU_ASSERT_FALSE (connection_room_update (&room, 900));
+  CU_ASSERT_FALSE (connection_room_update (&room, 850));
+  CU_ASSERT_TRUE (connection_room_update (&room, 849));
+  CU_ASSERT_TRUE (connection_room_update (&room, 900));
+}
+
 static const TestCase CASES[] = {
+  { "longest_idle_connection_makes_room", longest_idle_connection_makes_room },
+  { "connection_with_bytes_on_the_way_stays", connection_with_bytes_on_the_way_stays },
+  { "connections_in_use_stay", connections_in_use_stay },
+  { "host_is_full_before_its_connections_are_used_up",
+    host_is_full_before_its_connections_are_used_up },
   { "request_whose_client_has_left_is_not_reported",
     request_whose_client_has_left_is_not_reported },
   { "request_that_came_during_a_stall_is_answered_on_an_expired_connection",
