test_client_connections: no connection may end by itself while room is made

longest_idle_connection_makes_room passed in a trial with the eviction taken out: idle connections reached their limit of 15 s and made room after all. The limit is longer than the test waits now, and an earlier answer is not taken for the new one. Sources are unchanged.

--- a/tests/unit/test_client_connections.c
+++ b/tests/unit/test_client_connections.c
@@ -352,6 +352,7 @@
   f->fd = fd;
   f->closed = false;
   f->n_received = 0;
+  f->received[0] = '\0';
   send_bytes (f, REQUEST, strlen (REQUEST));
   if (!f->holds_requests)
     wait_for_bytes_or_close (f);
@@ -375,7 +376,8 @@
   ConnectionFixture f;
   int fds[2 * MAX_CONNECTIONS];
 
-  fixture_start (&f, LONG_LIMIT_MS, LONG_LIMIT_MS);
+  /* No connection ends for being idle while the test waits. */
+  fixture_start (&f, LONG_LIMIT_MS, 4 * WAIT_LIMIT_MS);
   exchange (&f);
   for (int i = 0; i < 2 * MAX_CONNECTIONS; i++)
     {
