--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -187,7 +187,9 @@
   size_t bytes;
   const char *leaving; /* while a file of this name exists, the worker is leaving */
   int slots;
-  double fail_share;  /* of the reads: answered with 500 by the worker itself */
+  double fail_share;  /* of the reads: fail after they have run */
+  double fail_books;  /* of the bookings */
+  const char *fail_text; /* status and reason of such an answer */
   double extra_share; /* of the answers: the beginning of a second one follows late */
   size_t extra_bytes;
   int queue; /* requests beyond slots that it takes; it refuses any further one. -1: no limit */
@@ -313,7 +315,7 @@
 
   load_header (load, sizeof load);
   n = snprintf (head, sizeof head, "HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Response-Seal: seal-%s\r\n%s%s",
-                fails ? "500 Internal Server Error" : "200 OK", request_id, request_id, load,
+                fails ? worker.fail_text : "200 OK", request_id, request_id, load,
                 closes ? "Connection: close\r\n" : "Keep-Alive: timeout=10\r\n");
   if (!unframed)
     n += snprintf (head + n, sizeof head - (size_t)n, "Content-Length: %zu\r\n", len);
@@ -328,7 +330,7 @@
     }
   else if (ok)
     ok = send_all (c->fd, body, len);
-  note ("worker %s answered id=%s status=%d bytes=%zu whole=%d", worker.id, request_id, fails ? 500 : 200, len, ok);
+  note ("worker %s answered id=%s status=%d bytes=%zu whole=%d", worker.id, request_id, fails ? atoi (worker.fail_text) : 200, len, ok);
   spoil (c, head);
   free (body);
   return ok && !closes;
@@ -395,7 +397,7 @@
     return shed (c, id);
   note ("worker %s runs id=%s leaving=%d line=\"%s\"", worker.id, id, is_leaving (), line);
   c->is_read = !strncmp (line, "GET ", 4);
-  fails = c->is_read && chance (worker.fail_share);
+  fails = chance (c->is_read ? worker.fail_share : worker.fail_books);
   worker.running++;
   sleep_ms (worker.work_ms);
   worker.running--;
@@ -443,6 +445,8 @@
   worker.half_ms = atoi (option (argc, argv, "--half-ms", "0"));
   worker.bytes = strtoul (option (argc, argv, "--bytes", "800"), NULL, 10);
   worker.fail_share = atof (option (argc, argv, "--fail-share", "0"));
+  worker.fail_books = atof (option (argc, argv, "--fail-books", "0"));
+  worker.fail_text = option (argc, argv, "--fail-text", "500 Internal Server Error");
   worker.extra_share = atof (option (argc, argv, "--extra-share", "0"));
   worker.extra_bytes = strtoul (option (argc, argv, "--extra-bytes", "15"), NULL, 10);
   worker.queue = atoi (option (argc, argv, "--queue", "-1"));
