--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -6,14 +6,14 @@
 cd "$HERE/../.." || exit 2
 . review/rig-3/lib.bash
 
-COUNT=400
+COUNT=120
 GAP_MS=50
 if [ "$TROUBLE" = 1 ]; then FAIL=0.45; else FAIL=0; fi
 
 start_store
 put op config "$(config 7)"
-# One of three workers.
-for n in 0 1 2; do
+# One of eight workers, for the 6 s of the load.
+for n in 0 1 2 3 4 5 6 7; do
   take_port
   start "worker-$n" "$TAKEN" $RIG worker --port "$TAKEN" --id "w-$n" --work-ms 60 --fail-books "$([ $n -eq 0 ] && echo $FAIL || echo 0)" \
     --fail-text "503 Service Unavailable"
