--- a/src/core/err.c
+++ b/src/core/err.c
@@ -39,6 +39,7 @@
   [ERR_RETRIES_EXHAUSTED] = { "retries_exhausted", 503, OUTCOME_UNKNOWN, true },
   [ERR_CONNECT_FAILED] = { "connect_failed", 502, OUTCOME_NOT_RUN, true },
   [ERR_SERVER_REFUSED] = { "server_refused", 503, OUTCOME_NOT_RUN, true },
+  [ERR_REFUSAL_UNPROVED] = { "refusal_unproved", 502, OUTCOME_UNKNOWN, true },
   [ERR_SERVER_FAILED] = { "server_failed", 502, OUTCOME_UNKNOWN, true },
   [ERR_RESPONSE_TRUNCATED] = { "answer_truncated", 502, OUTCOME_UNKNOWN, true },
   [ERR_RESPONSE_MISMATCH] = { "answer_mismatch", 502, OUTCOME_UNKNOWN, true },
--- a/src/core/err.h
+++ b/src/core/err.h
@@ -46,6 +46,7 @@
   /* Exchange with a backend server. */
   ERR_CONNECT_FAILED,
   ERR_SERVER_REFUSED,
+  ERR_REFUSAL_UNPROVED, /* the status of a refusal, from a server that does not say that it did not run the request */
   ERR_SERVER_FAILED,
   ERR_RESPONSE_TRUNCATED,
   ERR_RESPONSE_MISMATCH,
--- a/src/native/native_dialect.c
+++ b/src/native/native_dialect.c
@@ -19,6 +19,7 @@
 
 #include "relay/error_json.h"
 #include "relay/sse.h"
+#include "relay/status_promise.h"
 
 #define DEFAULT_DEADLINE_MS 60000
 #define MAX_DEADLINE_MS     600000
@@ -265,7 +266,7 @@
   (void)dialect;
   if (q->has_prompt && status < 400)
     out->usage = model_response_parse (body, len, q->id).used;
-  if (status != 503 && status != 429)
+  if (!status_promises_not_run (status))
     return;
   json = json_loadb (body, len, 0, NULL);
   out->not_run = json_is_false (json_object_get (json, "executed"));
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -480,6 +480,8 @@
   decode_body (r, a);
   if (a->check != RESPONSE_VALID)
     on_failed (a, FAIL_RESPONSE_TRUNCATED, false);
+  else if (relay_refuses_without_proof (r, a))
+    fail_attempt (r, a, FAIL_NO_RESPONSE, ERR_REFUSAL_UNPROVED);
   else if (a->streaming && !stream_is_complete (r, a))
     fail_cut_attempt (r, a, FAIL_RESPONSE_TRUNCATED);
   /* The client has a part of a stream: only more of its events may follow, or a break. */
--- a/src/relay/relay_finish.c
+++ b/src/relay/relay_finish.c
@@ -7,8 +7,10 @@
 #include <talloc.h>
 
 #include "core/counter.h"
+#include "core/invariant.h"
 #include "core/log.h"
 #include "relay/relay_counters.h"
+#include "relay/status_promise.h"
 
 /* Size of the text of a Retry-After header: seconds with three decimals. */
 #define RETRY_AFTER_BYTES 32
@@ -197,26 +199,12 @@
 relay_refuse (const RelayDeps *deps, const char *request_id, const Err *err,
               const RelayClientOps *client, void *client_data)
 {
+  int status = status_for_error (err_info (err->kind)->http_status, OUTCOME_NOT_RUN);
+
   counter_add_refusal (err->kind);
   log_event (LOG_LEVEL_NOTICE, "relay", "refused", "id=%s status=%d reason=%s detail=\"%s\"",
-             request_id, err_info (err->kind)->http_status, err_info (err->kind)->name,
-             err->detail);
-  send_error (deps, request_id, err, OUTCOME_NOT_RUN, err_info (err->kind)->http_status, client,
-              client_data);
-}
-
-/* 408, 429 and 503 tell the client that the request did not run, 502 and 504 that it may have run.
- * Replaces a status that contradicts what is known about the request. */
-static int
-error_status (const Err *err, bool may_have_run)
-{
-  int status = err_info (err->kind)->http_status;
-
-  if (may_have_run && (status == 503 || status == 429 || status == 408))
-    return 502;
-  if (!may_have_run && (status == 502 || status == 504))
-    return 503;
-  return status;
+             request_id, status, err_info (err->kind)->name, err->detail);
+  send_error (deps, request_id, err, OUTCOME_NOT_RUN, status, client, client_data);
 }
 
 #define DEFAULT_RETRY_AFTER_MS 300
@@ -225,10 +213,12 @@
 relay_finish_error (Relay *r, const Err *err)
 {
   Err response = *err;
+  Outcome outcome;
 
   relay_end_attempt (r, ASSIGNMENT_FAILED);
+  outcome = r->runs > 0 ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
   r->reason = err->kind;
-  r->status = error_status (err, r->runs > 0);
+  r->status = status_for_error (err_info (err->kind)->http_status, outcome);
   /* A stream whose version is unknown has to begin anew: waiting doesn't help. */
   if (r->status == 503 && response.retry_after_ms == 0 && err->kind != ERR_VERSION_UNKNOWN)
     response.retry_after_ms = relay_return_ms (r, err->kind, DEFAULT_RETRY_AFTER_MS);
@@ -237,8 +227,7 @@
              "id=%s status=%d reason=%s retry_after_ms=%" PRId64 " detail=\"%s\"", r->request->id,
              r->status, err_info (err->kind)->name, response.retry_after_ms, err->detail);
   if (r->client)
-    send_error (r->deps, r->request->id, &response, r->runs > 0 ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
-                r->status, r->client, r->client_data);
+    send_error (r->deps, r->request->id, &response, outcome, r->status, r->client, r->client_data);
   finish (r);
 }
 
@@ -256,6 +245,8 @@
 {
   const RelayHeader *headers = headers_of_attempt (r, a);
 
+  INVARIANT ("not_run_is_true", !status_promises_not_run (a->head.status),
+             "request %s, status %d of server %s", r->request->id, a->head.status, r->server);
   relay_report_complete (r, a);
   a->call = NULL;
   relay_count_run (r, a);
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -176,6 +176,9 @@
 /* relay_refusal.c: takes a refusal back that may be one of an earlier exchange of its connection. To be called with each
  * decoded head. */
 void relay_check_refusal (Relay *r, Attempt *a, BackendCall *call);
+/* To be called with a complete response that does not say that the request did not run. @return whether its status promises so
+ * all the same, so that no client must get it. */
+bool relay_refuses_without_proof (const Relay *r, const Attempt *a);
 
 /* relay_cut.c */
 void relay_set_keys (Relay *r);
--- a/src/relay/relay_refusal.c
+++ b/src/relay/relay_refusal.c
@@ -1,12 +1,15 @@
-/* Whether a server's statement that it did not run a request belongs to that request. */
+/* Whether a server has said that it did not run a request: its statement has to belong to that request, and its status alone is
+ * none. */
 #include "relay/relay_impl.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include <xxhash.h>
 
 #include "core/log.h"
 #include "relay/relay_counters.h"
+#include "relay/status_promise.h"
 
 static uint64_t
 address_hash (const Attempt *a)
@@ -57,3 +60,15 @@
   a->head.misdirected = false;
   a->head.retry_after_ms = 0;
 }
+
+bool
+relay_refuses_without_proof (const Relay *r, const Attempt *a)
+{
+  if (!status_promises_not_run (a->head.status))
+    return false;
+  log_event (LOG_LEVEL_NOTICE, "relay", "refusal_unproved",
+             "id=%s server=%s attempt=%d status=%d from_server=%d retry_after_ms=%" PRId64,
+             r->request->id, r->server, a->number, a->head.status, a->head.from_server,
+             a->head.retry_after_ms);
+  return true;
+}
--- a/tests/process/test_failures.sh
+++ b/tests/process/test_failures.sh
@@ -70,6 +70,9 @@
 before=$(booking_runs)
 check "a booking whose response is lost is not retried" equal "$(create_booking 1 b-3 '{"court":3}' | head -1 | kind_and_outcome)" "server_failed unknown"
 check "it ran once" equal "$(booking_runs)" $((before + 1))
+set_server_faults 20 '{"run_then_refuse":1}'
+check "a booking that ran and is answered 503 is not reported as not run" equal "$(create_booking 1 b-5 '{"court":5}' | head -1 | kind_and_outcome)" "refusal_unproved unknown"
+check "it ran once, too" equal "$(booking_runs)" $((before + 2))
 set_server_faults 20 '{"refuse":1}'
 check "a refused booking is reported as not run" equal "$(create_booking 1 b-4 '{"court":4}' | head -1 | jq -r .error.outcome)" not_run
 
--- a/tests/procsoak/clients.c
+++ b/tests/procsoak/clients.c
@@ -66,18 +66,26 @@
 
 /* --- Responses --------------------------------------------------------------------------- */
 
+static bool
+promises_not_run (int status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/* A status that promises so counts whatever the body says: clients may send the request again because of either. */
 static void
-check_error_response (Request *r)
+check_error_response (Request *r, int status)
 {
   json_t *json = json_loadb (r->body ? r->body : "", r->len, 0, NULL);
   json_t *error = json_object_get (json, "error");
   const char *outcome = json_string_value (json_object_get (error, "outcome"));
+  bool not_run = promises_not_run (status) || (outcome && !strcmp (outcome, "not_run"));
 
   if (!outcome)
     report_violation (r, "error_has_outcome", r->body ? r->body : "");
-  else if (!strcmp (outcome, "not_run") && r->kind == REQUEST_BOOKING)
+  if (not_run && r->kind == REQUEST_BOOKING)
     g_hash_table_insert (r->soak->bookings, g_strdup (r->key), GINT_TO_POINTER (BOOKING_NOT_RUN));
-  else if (!strcmp (outcome, "not_run") && r->id[0])
+  else if (not_run && r->id[0])
     g_hash_table_add (r->soak->not_run_ids, g_strdup (r->id));
   json_decref (json);
 }
@@ -166,7 +174,7 @@
 {
   if (status != 200)
     {
-      check_error_response (r);
+      check_error_response (r, status);
       return;
     }
   r->soak->completed++;
--- a/tests/procsoak/faults.c
+++ b/tests/procsoak/faults.c
@@ -16,8 +16,9 @@
     = { "{\"refuse\":4}",   "{\"close_before\":4}", "{\"close_mid\":3}", "{\"slow\":5}",
         "{\"wrong_id\":2}", "{\"limit\":2}",        "{\"limit\":0}" };
 static const char *const SERVICE_FAULTS[]
-    = { "{\"run_then_close\":5}", "{\"refuse\":3}", "{\"close_before\":3}",
-        "{\"wrong_id\":1}",       "{\"limit\":3}",  "{\"limit\":0}" };
+    = { "{\"run_then_close\":5}", "{\"run_then_refuse\":3}", "{\"refuse\":3}",
+        "{\"close_before\":3}",   "{\"wrong_id\":1}",        "{\"limit\":3}",
+        "{\"limit\":0}" };
 
 #define NO_STORE_FAULT                                                                             \
   "{\"silent\":false,\"busy\":false,\"many\":false,\"reset\":false,\"lost\":0,\"late\":0,\"slow_"  \
@@ -262,6 +263,6 @@
       set_standin_faults (
           s, i < SOAK_ENGINES ? 10 + i : 20 + i - SOAK_ENGINES,
           "{\"refuse\":0,\"close_before\":0,\"close_mid\":0,\"silent\":0,\"slow\":0,"
-          "\"wrong_id\":0,\"run_then_close\":0}");
+          "\"wrong_id\":0,\"run_then_close\":0,\"run_then_refuse\":0}");
     }
 }
--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -16,7 +16,8 @@
 static char *exit_on; /* NULL: never */
 
 static const char *const FAULT_NAMES[N_FAULTS]
-    = { "refuse", "close_before", "close_mid", "silent", "wrong_id", "slow", "run_then_close" };
+    = { "refuse",   "close_before", "close_mid",      "silent",
+        "wrong_id", "slow",         "run_then_close", "run_then_refuse" };
 
 static void
 report_load (void *data)
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -19,6 +19,7 @@
   FAULT_WRONG_ID,           /* responds with the id of another request */
   FAULT_SLOW,               /* takes ten times as long as usual */
   FAULT_RUN_THEN_CLOSE,     /* runs, then closes without a response; booking service only */
+  FAULT_RUN_THEN_REFUSE, /* runs, then responds with 503 and nothing that says whether it ran; booking service only */
   N_FAULTS
 } FaultKind;
 
--- a/tests/standins/standin_service.c
+++ b/tests/standins/standin_service.c
@@ -58,7 +58,10 @@
       http_call_abort (p->call);
       return;
     }
-  standin_respond (standin, p->call, 200, p->id, p->response);
+  if (standin_take_fault (standin, FAULT_RUN_THEN_REFUSE))
+    standin_respond (standin, p->call, 503, p->id, "{}");
+  else
+    standin_respond (standin, p->call, 200, p->id, p->response);
 }
 
 /* Sends @p response after the processing time. Takes ownership of @p response. */
