--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -5,6 +5,7 @@
 
 #include "http/client.h"
 #include "http/connection_table.h"
+#include "http/response_head.h"
 
 struct HttpClient
 {
@@ -41,6 +42,7 @@
   bool stale_connection; /* the connection that libcurl chose must not be used */
   bool request_started;  /* libcurl has started to send the request on a connection */
   bool response_started; /* bytes of the response have arrived */
+  ResponseHead head;     /* as far as it has come */
   bool head_complete;    /* the empty line after the head of the final response has arrived */
   bool headers_reported;
   bool aborted;
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <linux/sockios.h>
+#include <stdio.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/ioctl.h>
@@ -11,6 +12,7 @@
 #include <talloc.h>
 
 #include "core/counter.h"
+#include "core/log.h"
 #include "http/traffic.h"
 
 /* Limits of the header lines of one response. libcurl's own limits are too high for many exchanges at a
@@ -329,6 +331,33 @@
     x->head_complete = http_exchange_status (x) >= 200;
 }
 
+static void
+note_head_fault (ResponseHeadFault fault)
+{
+  char labels[48];
+
+  snprintf (labels, sizeof labels, "fault=\"%s\"", response_head_fault_name (fault));
+  counter_add (counter_get ("pond_response_heads_rejected_total", labels,
+                            "Heads of responses that are malformed or joined to another one."),
+               1);
+  log_event (LOG_LEVEL_NOTICE, "http", "response_head_rejected", "fault=%s",
+             response_head_fault_name (fault));
+}
+
+/* Trailers belong to no head. @return whether the line may be part of the response. */
+static bool
+check_head_line (HttpExchange *x, const char *line, size_t len)
+{
+  ResponseHeadFault fault;
+
+  if (x->head_complete)
+    return true;
+  fault = response_head_add_line (&x->head, line, len);
+  if (fault != RESPONSE_HEAD_SOUND)
+    note_head_fault (fault);
+  return fault == RESPONSE_HEAD_SOUND;
+}
+
 /* A line of the proxy's answer, which comes before the request is started. */
 static void
 note_tunnel_line (HttpExchange *x, const char *line, size_t len)
@@ -348,9 +377,11 @@
   x->head_lines++;
   if (x->request_started)
     {
-      note_head_line (x, bytes, size * n);
       count_received (x, size * n);
       note_received (x);
+      if (!check_head_line (x, bytes, size * n))
+        return 0;
+      note_head_line (x, bytes, size * n);
     }
   else
     note_tunnel_line (x, bytes, size * n);
@@ -433,6 +464,7 @@
     x->stale_connection = !is_usable (connections, fd);
   if (x->stale_connection)
     return CURL_PREREQFUNC_ABORT;
+  x->head.is_reused = !http_exchange_opened_connection (x);
   x->proves_end = connection_proves_end (x, fd);
   x->used_fd = fd;
   connection_table_set_user (connections, fd, x);
--- a/src/http/head_scan.c
+++ b/src/http/head_scan.c
@@ -1,22 +1,6 @@
 #include "http/head_scan.h"
 
-#include <string.h>
-
-/* Signs of a token that are no letters or digits. */
-static const char TOKEN_SIGNS[] = "!#$%&'*+-.^_`|~";
-
-static bool
-is_token_byte (unsigned char c)
-{
-  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
-         || (c != '\0' && strchr (TOKEN_SIGNS, c));
-}
-
-static bool
-is_text_byte (unsigned char c)
-{
-  return c == '\t' || (c >= ' ' && c != 0x7f);
-}
+#include "http/field_bytes.h"
 
 /* Empty lines before the request line are left out. @return false if the line is no header line. */
 static bool
@@ -38,9 +22,9 @@
 {
   bool ends_name = s->in_name && c == ':' && s->line_len > 0;
 
-  if (!is_text_byte (c) || (s->in_name && !ends_name && !is_token_byte (c)))
+  if (!field_is_text_byte (c) || (s->in_name && !ends_name && !field_is_token_byte (c)))
     return false;
-  if (!s->has_request_line && s->line_len == 0 && !is_token_byte (c))
+  if (!s->has_request_line && s->line_len == 0 && !field_is_token_byte (c))
     return false;
   if (ends_name)
     s->in_name = false;
--- a/src/native/native_dialect.c
+++ b/src/native/native_dialect.c
@@ -11,6 +11,7 @@
 #include <jansson.h>
 #include <talloc.h>
 
+#include "backend/header_repeated.h"
 #include "backend/retry_after.h"
 #include "native/load_report.h"
 #include "native/model_response.h"
@@ -213,7 +214,7 @@
 
   (void)dialect;
   head->has_id = id != NULL;
-  head->matches_request = id && !strcmp (id, q->id);
+  head->matches_request = id && !strcmp (id, q->id) && !header_is_repeated (call, "X-Request-Id");
   head->from_server = true;
   head->retry_after_ms = head->status == 503 ? retry_after_read (call) : 0;
   if (!load || !load_report_parse (load, &report))
--- a/src/relay/extra_answer.c
+++ b/src/relay/extra_answer.c
@@ -1,24 +1,14 @@
 #include "relay/extra_answer.h"
 
-#include <ctype.h>
 #include <stdbool.h>
 #include <string.h>
 #include <strings.h>
 
-/* "HTTP/1.1 200", followed by a blank or the end of the line. */
-#define STATUS_BYTES 12
+#include "http/response_head.h"
 
 /* Of a head, as the HTTP client takes them. */
 #define MAX_HEAD_BYTES 32768
 
-static bool
-is_status_line (const char *at, size_t len)
-{
-  return len > STATUS_BYTES && !memcmp (at, "HTTP/1.", 7) && (at[7] == '0' || at[7] == '1')
-         && at[8] == ' ' && isdigit ((unsigned char)at[9]) && isdigit ((unsigned char)at[10])
-         && isdigit ((unsigned char)at[11]) && (at[12] == ' ' || at[12] == '\r' || at[12] == '\n');
-}
-
 /* Of a head that begins at @p at. */
 static ExtraAnswer
 check_head (const char *at, size_t len, const char *id_header)
@@ -55,8 +45,8 @@
   while (next < end && (next = memchr (next, 'H', (size_t)(end - next))))
     {
       size_t left = (size_t)(end - next);
-      ExtraAnswer found
-          = is_status_line (next, left) ? check_head (next, left, id_header) : EXTRA_ANSWER_NONE;
+      ExtraAnswer found = response_head_begins_at (next, left) ? check_head (next, left, id_header)
+                                                               : EXTRA_ANSWER_NONE;
 
       if (found != EXTRA_ANSWER_NONE)
         {
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -235,6 +235,26 @@
   CU_ASSERT_FALSE (head.matches_request);
 }
 
+/* Guards against a response that is joined from two, of which one is this request's. */
+static void
+response_with_two_ids_or_seals_is_ignored (void)
+{
+  static const char *const TWO_IDS[]
+      = { "X-Request-Id", "r-1", "X-Response-Seal", "s", "x-request-id", "r-2", NULL };
+  static const char *const SAME_IDS[]
+      = { "X-Request-Id", "r-1", "X-Not-Executed", "1", "X-Request-Id", "r-1", NULL };
+  static const char *const TWO_SEALS[]
+      = { "X-Response-Seal", "s", "X-Request-Id", "r-1", "X-Response-Seal", "t", NULL };
+  static const char *const *const HEADS[] = { TWO_IDS, SAME_IDS, TWO_SEALS };
+
+  for (size_t i = 0; i < 3; i++)
+    {
+      RelayResponseHead head = decode_head (i == 1 ? 503 : 200, HEADS[i]);
+
+      CU_ASSERT (!head.matches_request && !head.not_run);
+    }
+}
+
 /* Guards against a pace that is read from a response without one, as on older deployments, or that is not read where
  * it is stated. */
 static void
@@ -432,6 +452,7 @@
     { "texts_of_server_rows_are_bounded", texts_of_server_rows_are_bounded },
     { "warmup_of_a_server_row_is_limited", warmup_of_a_server_row_is_limited },
     { "response_to_another_request_is_ignored", response_to_another_request_is_ignored },
+    { "response_with_two_ids_or_seals_is_ignored", response_with_two_ids_or_seals_is_ignored },
     { "pace_is_read_where_it_is_stated", pace_is_read_where_it_is_stated },
     { "not_run_requires_a_statement_of_the_server", not_run_requires_a_statement_of_the_server },
     { "request_carries_its_server_account_and_deadline",
