--- a/src/dispatch/server_record.h
+++ b/src/dispatch/server_record.h
@@ -14,6 +14,8 @@
   const char *version; /* of its software: any text; NULL is the same as an empty one */
   int slots;           /* number of requests that it can run at once; 0: unknown */
   bool draining;
-  int64_t warmup_ms;  /* remaining time in which it is slower, after its start */
-  int64_t started_ms; /* wall clock time of its start; 0: unknown */
+  int64_t warmup_ms; /* remaining time in which it is slower, after its start */
+  int64_t
+      started_ms; /* tells its starts apart, by its machine's wall clock, which may step back; 0: unknown */
+  bool order_unknown; /* the record known before may be newer: the store was restored in between */
 } ServerRecord;
--- a/src/dispatch/servers.c
+++ b/src/dispatch/servers.c
@@ -103,14 +103,20 @@
          || strcmp (s->service, r->service) != 0;
 }
 
-/* Detects the record of an earlier instance, which may come from a store that was restored from a
- * backup, or be delivered late. */
 static bool
-is_older_instance (const Server *s, const ServerRecord *r)
+has_earlier_start (const Server *s, const ServerRecord *r)
 {
   return s->started_ms > 0 && r->started_ms > 0 && r->started_ms < s->started_ms;
 }
 
+/* Where the store does not tell which record is newer, the starts do, although the server's clock may have stepped: its next record
+ * comes with a heartbeat, and then the store tells. */
+static bool
+is_older_instance (const Server *s, const ServerRecord *r)
+{
+  return r->order_unknown && has_earlier_start (s, r);
+}
+
 /* A copy of the instance of a server that has ended, for a callback without the lock; under @p ctx. */
 static ServerInstance *
 copy_ended (const void *ctx, const Server *s)
@@ -168,6 +174,10 @@
       pthread_mutex_unlock (&d->lock);
       return;
     }
+  if (s && has_earlier_start (s, r))
+    log_event (LOG_LEVEL_NOTICE, "dispatch", "clock_stepped_back",
+               "server=%s address=%s step_ms=%" PRId64, r->id, r->address,
+               s->started_ms - r->started_ms);
   if (s && is_other_instance (s, r))
     {
       ended = copy_ended (NULL, s);
--- a/src/store/store_watch.c
+++ b/src/store/store_watch.c
@@ -56,6 +56,7 @@
   int64_t mean_retry_ms;   /* mean delay before the next retry */
   int64_t poll_delay_ms;   /* before the next poll, after a reply with changes */
   bool synced;
+  bool order_is_known;    /* of the row that is being reported; store_watch_order_is_known() */
   bool full_read_pending; /* a full read is due or in progress */
   StoreEraListener listener;
   bool needs_restore_version;
@@ -95,6 +96,7 @@
     return;
   if (row->removed)
     now.removed_ms = timers_now_ms (w->options.timers);
+  w->order_is_known = !previous || previous->restore_count == w->restore_count;
   g_hash_table_insert (w->reported, g_strdup (name), g_memdup2 (&now, sizeof now));
   if (!row->removed)
     w->options.events->changed (w->options.data, row);
@@ -419,6 +421,12 @@
                                                        : REWRITTEN_AFTER_MS - stable_ms;
 }
 
+bool
+store_watch_order_is_known (const StoreWatch *w)
+{
+  return w->order_is_known;
+}
+
 bool
 store_watch_is_synced (const StoreWatch *w)
 {
--- a/src/store/store_watch.h
+++ b/src/store/store_watch.h
@@ -53,5 +53,9 @@
  * which its owner still may write it again, ms. */
 int64_t store_watch_removal_grace_ms (const StoreWatch *watch);
 
+/** Asked as a row has changed. @return whether the row is newer than the one that was reported under its name before. Within an era
+ * of the store it always is; the first one after a restore may have been written over a copy by a call that is older. */
+bool store_watch_order_is_known (const StoreWatch *watch);
+
 /** @return true once the first full read is complete. */
 bool store_watch_is_synced (const StoreWatch *watch);
