--- a/tests/unit/relay_fixture.c
+++ b/tests/unit/relay_fixture.c
@@ -96,6 +96,7 @@
                           .data_centre = "d",
                           .version = version,
                           .slots = 8,
+                          .order_unknown = f->order_unknown,
                           .draining = draining,
                           .started_ms = started_ms };
 
--- a/tests/unit/relay_fixture.h
+++ b/tests/unit/relay_fixture.h
@@ -24,6 +24,8 @@
   const char *required_version; /* set by the test: only servers of it may be asked; NULL: of any */
   Relay *relay;                 /* NULL once it has finished */
 
+  bool order_unknown; /* set by the test: as in ServerRecord, of the records that are published */
+
   /* What the client received. */
   int n_responses; /* complete responses and started streams */
   int status;
