--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -14,14 +14,19 @@
 /* Part of the host's memory for the bodies of requests that it keeps at once. */
 #define BODY_MEMORY_SHARE 0.3
 
-/* Limit for all responses that a host buffers at once: a fifth of the memory of the smallest
- * hosts. */
-#define MAX_BUFFERED_RESPONSE_BYTES ((size_t)32 << 20)
+/* Part of the host's memory for responses, until their clients have taken them. */
+#define RESPONSE_MEMORY_SHARE 0.3
+
+/* Part of that which the responses to one client account may take. */
+#define ACCOUNT_RESPONSE_SHARE 0.5
+
+/* Longer than the cuts and stops that a client's connection outlives. */
+#define TAKE_TIMEOUT_MS 10000
 
 typedef struct
 {
   FrontendShared shared;
-  BufferQuota response_quota;
+  ResponseRoom *response_room;
   BufferQuota body_quota;
   Loop *loop;
   HttpClient *client;
@@ -41,9 +46,21 @@
 worker_destroy (Worker *w)
 {
   TALLOC_FREE (w->server);
+  TALLOC_FREE (w->response_room);
   return 0;
 }
 
+static ResponseRoom *
+room_new (Worker *w, const FrontendOptions *o)
+{
+  double bytes = RESPONSE_MEMORY_SHARE * (double)o->memory_bytes / o->workers;
+  ResponseRoomOptions options = { .timers = loop_timers (w->loop),
+                                  .limit_bytes = (size_t)bytes,
+                                  .account_limit_bytes = (size_t)(ACCOUNT_RESPONSE_SHARE * bytes) };
+
+  return response_room_new (w, &options);
+}
+
 static Worker *
 worker_new (Frontend *frontend, const char *listen)
 {
@@ -57,6 +74,7 @@
                                .body_quota = &w->body_quota,
                                .read_timeout_ms = o->read_timeout_ms,
                                .idle_timeout_ms = o->idle_timeout_ms,
+                               .take_timeout_ms = TAKE_TIMEOUT_MS,
                                .max_connections = o->max_connections / o->workers + 1,
                                .timeout_body = frontend_call_timeout_body (),
                                .events = frontend_call_events (),
@@ -65,7 +83,7 @@
   w->loop = own_thread ? loop_new (w) : o->control_loop;
   w->client = http_client_new (w, w->loop);
   backend.client = w->client;
-  w->response_quota.limit_bytes = MAX_BUFFERED_RESPONSE_BYTES / o->workers;
+  w->response_room = room_new (w, o);
   w->body_quota.limit_bytes = (size_t)(BODY_MEMORY_SHARE * (double)o->memory_bytes) / o->workers;
   w->shared.catalog = o->catalog;
   w->shared.deps = (RelayDeps){ .timers = loop_timers (w->loop),
@@ -79,7 +97,7 @@
                                 .dialect = o->dialect,
                                 .max_response_bytes = o->max_response_bytes,
                                 .charge_failed = o->charge_failed,
-                                .response_quota = &w->response_quota };
+                                .response_room = w->response_room };
   w->server = http_server_new (w, w->loop, &server);
   talloc_set_destructor (w, worker_destroy);
   if (w->server)
--- a/src/entry/frontend_call.c
+++ b/src/entry/frontend_call.c
@@ -72,8 +72,15 @@
   ((FrontendCall *)data)->relay = NULL;
 }
 
+static void
+keep_until_taken (void *data, void *object)
+{
+  talloc_steal (((FrontendCall *)data)->call, object);
+}
+
 static const RelayClientOps CLIENT_OPS
-    = { respond, begin_response, write_bytes, end_response, abort_response, on_relay_released };
+    = { respond,        begin_response,    write_bytes,     end_response,
+        abort_response, on_relay_released, keep_until_taken };
 
 /* Retry-After of a request whose body finds no room. */
 #define NO_ROOM_RETRY_MS 1000
@@ -129,6 +136,9 @@
     {
       /* The relay uses routes and services of this configuration until it ends. */
       catalog_attach (memory, catalog);
+      if (request->client_states_timeout)
+        http_call_set_deadline (c->call,
+                                http_call_started_ms (c->call) + request->client_timeout_ms);
       c->relay = relay_new (deps, memory, request, http_call_started_ms (c->call), &CLIENT_OPS, c);
       return;
     }
--- a/src/http/call.c
+++ b/src/http/call.c
@@ -90,12 +90,22 @@
   return call->started_ms;
 }
 
+void
+http_call_set_deadline (HttpCall *call, int64_t deadline_ms)
+{
+  call->deadline_ms = deadline_ms;
+}
+
 /* --- The response ------------------------------------------------------------------------ */
 
 static void
 put (HttpCall *call, const char *bytes, size_t len)
 {
-  output_buffer_append (&call->connection->output, call->connection, bytes, len);
+  Connection *c = call->connection;
+
+  if (output_buffer_len (&c->output) == 0)
+    c->taken_ms = timers_now_ms (loop_timers (c->server->loop));
+  output_buffer_append (&c->output, c, bytes, len);
 }
 
 static void
--- a/src/http/connection.c
+++ b/src/http/connection.c
@@ -15,6 +15,9 @@
  * response: this much of what it sends is discarded before. */
 #define MAX_DRAINED_BYTES ((size_t)256 << 10)
 
+/* A client goes by its own clock, and what it still takes just after its deadline may be all that it lacks. */
+#define DEADLINE_SLACK_MS 1000
+
 /* --- Start and end ----------------------------------------------------------------------- */
 
 /* Connections above the limit wait in the listen backlog until another one ends or is idle. */
@@ -187,13 +190,48 @@
   return call->client_gone || (call->aborted && n_waiting == 0);
 }
 
+/* @return false if the socket takes no bytes any more. */
+static bool
+flush (Connection *c)
+{
+  size_t before = output_buffer_len (&c->output);
+  bool works = output_buffer_flush (&c->output, c->fd);
+
+  if (output_buffer_len (&c->output) < before)
+    c->taken_ms = timers_now_ms (loop_timers (c->server->loop));
+  return works;
+}
+
+/* What the socket can take is offered to it first: after a stall the loop may not have served it yet. */
+bool
+connection_is_taken_too_slowly (Connection *c, int64_t now_ms)
+{
+  const HttpCall *call = c->call;
+  int64_t limit_ms = c->server->take_timeout_ms;
+
+  if (!call || output_buffer_len (&c->output) == 0)
+    return false;
+  if (!flush (c) || output_buffer_len (&c->output) == 0)
+    return false;
+  if (limit_ms > 0 && now_ms - c->taken_ms >= limit_ms)
+    return true;
+  return call->deadline_ms > 0 && now_ms - call->deadline_ms >= DEADLINE_SLACK_MS;
+}
+
+void
+connection_reset (Connection *c)
+{
+  reset_on_close (c);
+  connection_close (c);
+}
+
 /* Sends what waits, and goes on with the connection as far as it can. */
 static void
 progress (Connection *c)
 {
   for (;;)
     {
-      bool works = output_buffer_flush (&c->output, c->fd);
+      bool works = flush (c);
       size_t n_waiting = output_buffer_len (&c->output);
       HttpCall *call = c->call;
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -9,6 +9,7 @@
 
 #include <talloc.h>
 
+#include "core/counter.h"
 #include "core/log.h"
 
 #define SWEEP_INTERVAL_MS 1000
@@ -126,6 +127,19 @@
   shutdown (c->fd, SHUT_RDWR);
 }
 
+static void
+end_slow_client (Connection *c, int64_t now)
+{
+  counter_add (
+      counter_get ("pond_slow_clients_closed_total", "",
+                   "Connections of clients that took no response, or were past their deadline."),
+      1);
+  log_event (LOG_LEVEL_NOTICE, "http", "client_too_slow",
+             "waiting_bytes=%zu nothing_taken_ms=%" PRId64 " age_ms=%" PRId64,
+             output_buffer_len (&c->output), now - c->taken_ms, now - c->call->started_ms);
+  connection_reset (c);
+}
+
 /* Closes idle connections and those whose request does not arrive in time.
  *
  * After a stall this may run before the sockets are served: only the client's silence counts. */
@@ -145,6 +159,11 @@
       int64_t age_ms = now - (c->call ? c->call->started_ms : c->idle_since_ms);
 
       next = list_next (&server->connections, n);
+      if (connection_is_taken_too_slowly (c, now))
+        {
+          end_slow_client (c, now);
+          continue;
+        }
       if (!is_expired (c, age_ms))
         continue;
       add_to_summary (&summary, c, age_ms);
@@ -196,6 +215,7 @@
   server->max_body_bytes = options->max_body_bytes;
   server->max_header_bytes = options->max_header_bytes;
   server->body_quota = options->body_quota;
+  server->take_timeout_ms = options->take_timeout_ms;
   server->max_connections = options->max_connections;
   http_server_set_timeouts (server, options->read_timeout_ms, options->idle_timeout_ms);
   server->timeout_body
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -48,6 +48,8 @@
   /** Limit for a connection until the headers of its next request have arrived; 0 for
    * read_timeout_ms. */
   int64_t idle_timeout_ms;
+  /** Limit for a client that takes no byte of a response that waits for it; 0: none. */
+  int64_t take_timeout_ms;
   unsigned max_connections;
   const char *timeout_body; /* JSON body of the 408 if a request body does not arrive in time */
   const HttpServerEvents *events;
@@ -100,6 +102,10 @@
 /** @return the same time in milliseconds of the loop's clock. */
 int64_t http_call_started_ms (const HttpCall *call);
 
+/** The client waits no longer than this, by the loop's clock: its connection is closed if it has not taken the response some time
+ * after that. */
+void http_call_set_deadline (HttpCall *call, int64_t deadline_ms);
+
 /** One response header. */
 typedef struct
 {
--- a/src/http/server_impl.h
+++ b/src/http/server_impl.h
@@ -28,6 +28,7 @@
   BufferQuota *body_quota;
   int64_t read_timeout_ms;
   int64_t idle_timeout_ms;
+  int64_t take_timeout_ms;
   char *timeout_body;
   char *receive_buffer; /* of the connection that is being read */
   bool close_after_response;
@@ -59,6 +60,7 @@
   char *unread;  /* bytes behind the request that is being answered; NULL: none */
   size_t n_unread;
   OutputBuffer output;
+  int64_t taken_ms; /* when the socket took bytes of the output last, or the output was empty */
   bool is_draining; /* the last response has been sent; what the client still sends is discarded */
   size_t drained_bytes;
   int64_t idle_since_ms; /* start of the connection, or end of its last request */
@@ -75,6 +77,7 @@
   size_t raw_head_bytes; /* as received, with blanks that the head does not count */
   int64_t started_us;
   int64_t started_ms;
+  int64_t deadline_ms; /* of the client; 0: unknown */
   char *body;
   size_t body_len;
   size_t body_quota_bytes; /* acquired for it */
@@ -110,6 +113,12 @@
 /** Makes room for a connection, if there are as many as are allowed, by closing the one that has been idle for longest. */
 void server_make_room (HttpServer *server);
 
+/** @return whether the client takes none of a response that waits for it, or is past its deadline. */
+bool connection_is_taken_too_slowly (Connection *connection, int64_t now_ms);
+
+/** As connection_close(), so that no response can look complete. What the client has not taken is discarded. */
+void connection_reset (Connection *connection);
+
 /** Sends what waits, and goes on with the connection, once the loop has returned from the current event. */
 void connection_schedule_progress (Connection *connection);
 
--- a/src/native/native_dialect.c
+++ b/src/native/native_dialect.c
@@ -73,6 +73,7 @@
                         MAX_DEADLINE_MS);
     }
   q->client_timeout_ms = ms;
+  q->client_states_timeout = text != NULL;
   return true;
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -9,9 +9,9 @@
 #include "dispatch/dispatch.h"
 #include "overload/overload.h"
 #include "quarantine/quarantine.h"
-#include "core/buffer_quota.h"
 #include "relay/dialect.h"
 #include "relay/relay_request.h"
+#include "relay/response_room.h"
 #include "streams/streams.h"
 
 typedef struct Relay Relay;
@@ -33,6 +33,8 @@
   void (*abort) (void *data);
   /** The relay is about to be freed; drop the pointer to it. */
   void (*released) (void *data);
+  /** Takes a talloc object over, to be freed once the client has taken the response, or has left. May be NULL. */
+  void (*keep) (void *data, void *object);
 } RelayClientOps;
 
 /** The objects and settings of its worker and host that a relay uses. */
@@ -49,7 +51,7 @@
   Budgets *budgets;
   Dialect *dialect;
   size_t max_response_bytes;   /* limit of a response that is not streamed */
-  BufferQuota *response_quota; /* shared by the requests of the worker */
+  ResponseRoom *response_room; /* shared by the requests of the worker */
   bool charge_failed;          /* charge failed requests too, if they may have run */
 } RelayDeps;
 
--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <talloc.h>
@@ -80,13 +81,6 @@
   return call;
 }
 
-static int
-attempt_destroy (Attempt *a)
-{
-  buffer_quota_release (a->relay->deps->response_quota, a->body_len);
-  return 0;
-}
-
 /* No server can be asked. Ends the request. */
 static void
 fail_placement (Relay *r, const Err *err)
@@ -135,7 +129,6 @@
   a->started_ms = query.now_ms;
   a->sse.max_event_bytes = MAX_EVENT_BYTES;
   a->body_usage = -1;
-  talloc_set_destructor (a, attempt_destroy);
   r->attempt = a;
   r->state = RELAY_SENT;
   snprintf (r->server, sizeof r->server, "%s", assignment_server (assignment));
@@ -167,6 +160,9 @@
   if (!a)
     return;
   r->attempt = NULL;
+  TALLOC_FREE (a->claim);
+  TALLOC_FREE (a->body);
+  a->body_len = 0;
   TALLOC_FREE (a->end_check);
   if (a->call && a->head.status == 0)
     relay_report_room (r, a, timers_now_ms (r->deps->timers));
@@ -344,15 +340,59 @@
   return true;
 }
 
+static void
+on_room_granted (void *data)
+{
+  Attempt *a = data;
+  Relay *r = a->relay;
+
+  log_event (LOG_LEVEL_INFO, "relay", "response_goes_on",
+             "id=%s server=%s waited_ms=%" PRId64 " bytes=%zu", r->request->id, r->server,
+             timers_now_ms (r->deps->timers) - a->waits_since_ms, a->body_len);
+  a->waits_since_ms = 0;
+  if (a->call)
+    backend_resume (a->call);
+}
+
+/* @return the most bytes that the body can have. */
+static size_t
+most_body_bytes (const Relay *r, const Attempt *a)
+{
+  const char *text = backend_header (a->call, "Content-Length");
+  unsigned long long length = text ? strtoull (text, NULL, 10) : 0;
+  size_t most = r->deps->max_response_bytes;
+
+  return text && length < most ? (size_t)length : most;
+}
+
+static void
+wait_for_room (Relay *r, Attempt *a)
+{
+  if (a->waits_since_ms > 0)
+    return;
+  a->waits_since_ms = timers_now_ms (r->deps->timers);
+  counter_add (relay_counters ()->responses_waited, 1);
+  log_event (LOG_LEVEL_INFO, "relay", "response_waits",
+             "id=%s server=%s account=%s most_bytes=%zu held_bytes=%zu", r->request->id, r->server,
+             r->request->account ? r->request->account : "-", most_body_bytes (r, a),
+             response_room_used_bytes (r->deps->response_room));
+}
+
 static BackendFlow
 buffer_body (Relay *r, Attempt *a, const char *bytes, size_t len)
 {
-  if (a->body_len + len > r->deps->max_response_bytes
-      || !buffer_quota_acquire (r->deps->response_quota, a->body_len, len))
+  if (a->body_len + len > r->deps->max_response_bytes)
     {
       a->check = RESPONSE_INVALID;
       return BACKEND_ABORT;
     }
+  if (!a->claim)
+    a->claim = room_claim_new (a, r->deps->response_room, r->request->account, on_room_granted, a);
+  if (!room_claim_reserve (a->claim, a->body_len + len, most_body_bytes (r, a)))
+    {
+      wait_for_room (r, a);
+      return BACKEND_PAUSE;
+    }
   a->body = talloc_realloc_size (a, a->body, a->body_len + len);
   memcpy (a->body + a->body_len, bytes, len);
   a->body_len += len;
--- a/src/relay/relay_counters.c
+++ b/src/relay/relay_counters.c
@@ -25,6 +25,9 @@
   counters.extra_answers
       = counter_get ("pond_extra_answers_total", "",
                      "Second answers behind a response without a length, left out.");
+  counters.responses_waited
+      = counter_get ("pond_responses_waited_total", "",
+                     "Responses that found no room, as clients take theirs slowly.");
   counters.stream_pauses
       = counter_get ("pond_stream_pauses_total", "", "Streams held back for a slow reader.");
   counters.budget_pauses = counter_get ("pond_stream_budget_pauses_total", "",
--- a/src/relay/relay_counters.h
+++ b/src/relay/relay_counters.h
@@ -14,6 +14,7 @@
   Counter *ends_confirmed; /* responses that ended with their connection, whose server still ran */
   Counter *ends_unproved;
   Counter *extra_answers;
+  Counter *responses_waited;
   Counter *stream_pauses; /* times that a stream waited for a slow client */
   Counter *budget_pauses; /* times that a stream waited until more of its reservation was covered */
   Counter *tokens_delivered;
--- a/src/relay/relay_end.c
+++ b/src/relay/relay_end.c
@@ -190,7 +190,6 @@
   if (found == EXTRA_ANSWER_NONE)
     return true;
   note_extra_answer (r, found);
-  buffer_quota_release (r->deps->response_quota, a->body_len - at);
   a->body_len = at;
   a->end_proved = found == EXTRA_ANSWER_FOUND;
   return a->end_proved;
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -63,6 +63,8 @@
   SseParser sse;
   char *body;
   size_t body_len;
+  RoomClaim *claim;       /* for the body; NULL: none yet */
+  int64_t waits_since_ms; /* for room; 0: does not */
   bool
       no_connection; /* nothing answered on the way to the server, not even a refusal of the connection */
   Tokens body_usage; /* usage reported in the body; -1 if none */
--- a/src/relay/relay_request.h
+++ b/src/relay/relay_request.h
@@ -35,6 +35,8 @@
   int priority;              /* 0 is the most urgent */
   const RegionSet *regions;  /* in which it may be served; NULL: in all */
   int64_t client_timeout_ms; /* requested by the client */
+  bool
+      client_states_timeout; /* otherwise client_timeout_ms is a default, and the client may wait for longer */
   int64_t route_timeout_ms;  /* configured for the route; 0: none */
   int64_t target_latency_ms; /* 0: none */
   const char *last_event_id; /* the client resumes its stream after this event; may be NULL */
--- a/tests/unit/crash_fleet.c
+++ b/tests/unit/crash_fleet.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "platform/platform_dialect.h"
+#include "room_fixture.h"
 
 #define MESSAGE_MS         10 /* from a host to another one */
 #define TICK_MS            100
@@ -103,7 +104,7 @@
 }
 
 static const RelayClientOps CLIENT_OPS
-    = { respond, begin_stream, write_stream, end_stream, abort_stream, on_released };
+    = { respond, begin_stream, write_stream, end_stream, abort_stream, on_released, NULL };
 
 /* --- Servers ----------------------------------------------------------------------------- */
 
@@ -473,14 +474,13 @@
   options.seed = rng_next (&f->rng);
   h->backend.ops = &BACKEND_OPS;
   h->dispatch = dispatch_new (f, &options);
-  h->response_quota = (BufferQuota){ .limit_bytes = 1 << 20 };
   h->deps = (RelayDeps){ .timers = f->clock,
                          .executor = { post, h },
                          .backend = &h->backend,
                          .dispatch = h->dispatch,
                          .dialect = platform_dialect (),
                          .max_response_bytes = 4096,
-                         .response_quota = &h->response_quota };
+                         .response_room = room_fixture_new (f, f->clock) };
   h->store = fake_store_client_new (f->store);
   h->store->latency_ms = 10;
   make_quarantine (h);
--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -33,7 +33,6 @@
   QuarantineRows *rows;
   FakeStoreClient *store;
   int group; /* hosts reach those of their group only */
-  BufferQuota response_quota;
   RelayDeps deps;
 } CrashFleetHost;
 
--- a/tests/unit/relay_fixture.c
+++ b/tests/unit/relay_fixture.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "harness.h"
+#include "room_fixture.h"
 #include "platform/platform_dialect.h"
 #include "relay/relay_impl.h"
 
@@ -72,8 +73,16 @@
   ((RelayFixture *)data)->relay = NULL;
 }
 
+static void
+keep (void *data, void *object)
+{
+  RelayFixture *f = data;
+
+  f->kept = talloc_steal (f, object);
+}
+
 static const RelayClientOps CLIENT_OPS
-    = { respond, begin_stream, write_stream, end_stream, abort_stream, on_released };
+    = { respond, begin_stream, write_stream, end_stream, abort_stream, on_released, keep };
 
 /* --- Set-up ------------------------------------------------------------------------------ */
 
@@ -135,7 +144,6 @@
   f->quarantine = quarantine_new (f, &(QuarantineOptions){ .seed = 1 });
   f->body = talloc_strdup (f, "");
   f->headers = talloc_strdup (f, "");
-  f->response_quota = (BufferQuota){ .limit_bytes = 1 << 20 };
   f->deps = (RelayDeps){ .timers = f->budgets->timers,
                          .executor = { post, f },
                          .backend = &f->backend->backend,
@@ -144,7 +152,7 @@
                          .budgets = f->budgets->hosts[0].budgets,
                          .dialect = platform_dialect (),
                          .max_response_bytes = 4096,
-                         .response_quota = &f->response_quota };
+                         .response_room = room_fixture_new (f, f->budgets->timers) };
   f->request = (RelayRequest){ .id = "r-1",
                                .method = "POST",
                                .target = "/p/1",
--- a/tests/unit/relay_fixture.h
+++ b/tests/unit/relay_fixture.h
@@ -19,7 +19,6 @@
   const Catalog *catalog;
   const CatalogService *service;
   RelayDeps deps;
-  BufferQuota response_quota;
   RelayRequest request;         /* may be changed before relay_fixture_start() */
   const char *required_version; /* set by the test: only servers of it may be asked; NULL: of any */
   Relay *relay;                 /* NULL once it has finished */
@@ -34,6 +33,7 @@
   bool ended;    /* a stream was ended normally */
   bool aborted;
   bool blocked; /* set by the test: write reports a full send buffer */
+  void *kept;   /* until the client has taken its response: the test frees it; NULL: nothing */
 } RelayFixture;
 
 /** Sets up three servers of one service and a request of @p kind with 100 prompt and 50 output tokens. */
--- a/tests/unit/stream_fleet.c
+++ b/tests/unit/stream_fleet.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "platform/platform_dialect.h"
+#include "room_fixture.h"
 
 #define LIST_POLL_MS     30  /* of the hosts; each at a phase of its own */
 #define DELAY_MS         5   /* from a host to a server */
@@ -175,7 +176,7 @@
 }
 
 static const RelayClientOps CLIENT_OPS
-    = { respond, begin_stream, write_stream, end_stream, abort_stream, on_released };
+    = { respond, begin_stream, write_stream, end_stream, abort_stream, on_released, NULL };
 
 static StreamFleetHost *
 choose_host (StreamFleet *f)
@@ -657,13 +658,12 @@
   h->backend.ops = &BACKEND_OPS;
   h->seen = g_byte_array_new ();
   list_init (&h->tries);
-  h->response_quota = (BufferQuota){ .limit_bytes = 1 << 20 };
   h->deps = (RelayDeps){ .timers = f->clock,
                          .executor = { post, h },
                          .backend = &h->backend,
                          .dialect = platform_dialect (),
                          .max_response_bytes = 4096,
-                         .response_quota = &h->response_quota };
+                         .response_room = room_fixture_new (f, f->clock) };
   h->store = fake_store_client_new (f->store);
   h->store->latency_ms = 4;
   start_host (h);
--- a/tests/unit/stream_fleet.h
+++ b/tests/unit/stream_fleet.h
@@ -35,7 +35,6 @@
   GByteArray *seen; /* state of each server as this host knows it */
   List tries;       /* open ones of clients */
   bool is_down;
-  BufferQuota response_quota;
   RelayDeps deps;
 } StreamFleetHost;
 
--- a/tests/unit/test_client_connections.c
+++ b/tests/unit/test_client_connections.c
@@ -18,6 +18,8 @@
 #define SHORT_LIMIT_MS  300
 #define LONG_LIMIT_MS   15000
 #define MAX_CONNECTIONS 8
+#define TAKE_LIMIT_MS   1500
+#define LONG_RESPONSE   (16 << 20) /* more than socket buffers hold */
 #define LONG_BODY       200000 /* more than the server reads at once, less than socket buffers hold */
 
 static const char REQUEST[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -32,8 +34,21 @@
   bool closed;
   bool holds_requests; /* the owner of the server does not answer */
   int n_held;
+  size_t response_bytes;   /* 0: two */
+  int64_t client_waits_ms; /* from its request on; 0: unknown */
 } ConnectionFixture;
 
+static void
+send_long_response (ConnectionFixture *f, HttpCall *call)
+{
+  char *body = talloc_zero_size (NULL, f->response_bytes);
+
+  if (f->client_waits_ms > 0)
+    http_call_set_deadline (call, http_call_started_ms (call) + f->client_waits_ms);
+  http_call_respond (call, 200, NULL, 0, body, f->response_bytes);
+  talloc_free (body);
+}
+
 static void
 on_request (void *data, HttpCall *call, HttpFault fault)
 {
@@ -45,7 +60,10 @@
       f->n_held++;
       return;
     }
-  http_call_respond (call, 200, NULL, 0, "ok", 2);
+  if (f->response_bytes > 0)
+    send_long_response (f, call);
+  else
+    http_call_respond (call, 200, NULL, 0, "ok", 2);
 }
 
 static void
@@ -65,6 +83,7 @@
                                 .max_header_bytes = 1000,
                                 .read_timeout_ms = read_timeout_ms,
                                 .idle_timeout_ms = idle_timeout_ms,
+                                .take_timeout_ms = TAKE_LIMIT_MS,
                                 .max_connections = MAX_CONNECTIONS,
                                 .events = &EVENTS,
                                 .data = f };
@@ -458,6 +477,72 @@
   CU_ASSERT_TRUE (connection_room_update (&room, 900));
 }
 
+/* --- Clients that take their responses slowly -------------------------------------------- */
+
+static void
+start_long_response (ConnectionFixture *f, int64_t client_waits_ms)
+{
+  fixture_start (f, LONG_LIMIT_MS, LONG_LIMIT_MS);
+  f->response_bytes = LONG_RESPONSE;
+  f->client_waits_ms = client_waits_ms;
+  send_bytes (f, REQUEST, strlen (REQUEST));
+}
+
+/* Reads a part of what came each 100 ms. @return for how long the response was open on the server, @p ms at most. */
+static int64_t
+read_slowly (ConnectionFixture *f, int64_t ms, size_t part)
+{
+  char bytes[65536];
+  int64_t at = 0;
+
+  for (; at < ms && (at == 0 || http_server_open_calls (f->server) > 0); at += 100)
+    {
+      if (part > 0 && recv (f->fd, bytes, part, MSG_DONTWAIT) == 0)
+        break;
+      f->n_received = sizeof f->received - 1;
+      run_loop_for (f, 100);
+    }
+  return at;
+}
+
+/* Guards against a response that lies in the memory of a host for as long as its client pleases, which takes none of it. */
+static void
+client_that_takes_nothing_is_ended (void)
+{
+  ConnectionFixture f;
+  int64_t open_ms;
+
+  start_long_response (&f, 0);
+  open_ms = read_slowly (&f, WAIT_LIMIT_MS, 0);
+  CU_ASSERT (open_ms >= TAKE_LIMIT_MS - 100 && open_ms <= TAKE_LIMIT_MS + 3 * SWEEP_MS);
+  fixture_stop (&f);
+}
+
+/* Guards against a client that reads slowly, and steadily, and is ended for it. */
+static void
+client_that_takes_a_little_is_not_ended (void)
+{
+  ConnectionFixture f;
+
+  start_long_response (&f, 0);
+  CU_ASSERT (read_slowly (&f, 3 * TAKE_LIMIT_MS, 65536) >= 3 * TAKE_LIMIT_MS);
+  fixture_stop (&f);
+}
+
+/* Guards against a response that is sent on to a client which has stopped waiting for it, and against one that is broken off before
+ * that. */
+static void
+client_is_ended_after_its_deadline (void)
+{
+  ConnectionFixture f;
+  int64_t open_ms;
+
+  start_long_response (&f, 500);
+  open_ms = read_slowly (&f, WAIT_LIMIT_MS, 65536);
+  CU_ASSERT (open_ms >= 500 && open_ms <= 500 + 4 * SWEEP_MS);
+  fixture_stop (&f);
+}
+
 static const TestCase CASES[] = {
   { "longest_idle_connection_makes_room", longest_idle_connection_makes_room },
   { "connection_with_bytes_on_the_way_stays", connection_with_bytes_on_the_way_stays },
@@ -473,6 +558,9 @@
   { "long_body_that_came_during_a_stall_is_not_answered_with_408",
     long_body_that_came_during_a_stall_is_not_answered_with_408 },
   { "slow_sender_is_answered_with_408", slow_sender_is_answered_with_408 },
+  { "client_that_takes_nothing_is_ended", client_that_takes_nothing_is_ended },
+  { "client_that_takes_a_little_is_not_ended", client_that_takes_a_little_is_not_ended },
+  { "client_is_ended_after_its_deadline", client_is_ended_after_its_deadline },
   { "request_that_comes_as_the_server_stops_is_not_begun",
     request_that_comes_as_the_server_stops_is_not_begun },
   { "silent_connection_is_closed_after_the_limit", silent_connection_is_closed_after_the_limit },
--- a/tests/unit/test_relay.c
+++ b/tests/unit/test_relay.c
@@ -6,6 +6,7 @@
 
 #include "harness.h"
 #include "relay_fixture.h"
+#include "room_fixture.h"
 
 static const char *const NOT_RUN_HEADERS[]
     = { "X-Request-Id", "r-1", "X-Not-Executed", "full", NULL };
@@ -209,6 +210,64 @@
   relay_fixture_free (f);
 }
 
+/* A response of the server to the request of @p f, larger than what is read without room, finds that others hold all of it. */
+static RoomClaim *
+wait_for_room (RelayFixture *f, char *body, size_t len)
+{
+  RoomClaim *other = room_claim_new (f, f->deps.response_room, "other", NULL, NULL);
+
+  memset (body, 'b', len);
+  body[len] = '\0';
+  f->deps.max_response_bytes = ROOM_FIXTURE_BYTES;
+  CU_ASSERT (room_claim_reserve (other, ROOM_FIXTURE_BYTES, ROOM_FIXTURE_BYTES));
+  relay_fixture_start (f);
+  relay_fixture_send_head (f, 200);
+  fake_backend_send_body (relay_fixture_last_call (f), body);
+  CU_ASSERT (relay_fixture_last_call (f)->paused);
+  CU_ASSERT_EQUAL (f->n_responses, 0);
+  return other;
+}
+
+/* Guards against responses behind slow clients that end the process for its memory, and against one that is thrown away because others
+ * hold the room. */
+static void
+response_waits_for_room_and_keeps_it_until_it_is_taken (void)
+{
+  RelayFixture *f = relay_fixture_new (CALL_NON_IDEMPOTENT);
+  static char body[2 * RESPONSE_ROOM_SMALL_BYTES];
+  RoomClaim *other = wait_for_room (f, body, sizeof body - 1);
+
+  talloc_free (other);
+  relay_fixture_run (f, 10);
+  CU_ASSERT_FALSE (relay_fixture_last_call (f)->paused);
+  fake_backend_send_body (relay_fixture_last_call (f), body);
+  fake_backend_end_response (relay_fixture_last_call (f));
+  CU_ASSERT_EQUAL (f->status, 200);
+  CU_ASSERT_STRING_EQUAL (f->body, body);
+  CU_ASSERT_PTR_NULL (f->relay);
+  CU_ASSERT_EQUAL (response_room_used_bytes (f->deps.response_room), strlen (body));
+  TALLOC_FREE (f->kept);
+  CU_ASSERT_EQUAL (response_room_used_bytes (f->deps.response_room), 0);
+  relay_fixture_free (f);
+}
+
+/* Guards against a request that waits for room beyond its deadline, or that takes room after it. */
+static void
+response_that_waits_for_room_ends_at_the_deadline (void)
+{
+  RelayFixture *f = relay_fixture_new (CALL_NON_IDEMPOTENT);
+  static char body[2 * RESPONSE_ROOM_SMALL_BYTES];
+  RoomClaim *other = wait_for_room (f, body, sizeof body - 1);
+
+  relay_fixture_run (f, 4200);
+  CU_ASSERT_EQUAL (f->status, 504);
+  CU_ASSERT (relay_fixture_last_call (f)->cancelled);
+  talloc_free (other);
+  relay_fixture_run (f, 10);
+  CU_ASSERT_EQUAL (response_room_used_bytes (f->deps.response_room), 0);
+  relay_fixture_free (f);
+}
+
 /* --- Deadline, budget, disconnects ------------------------------------------------------- */
 
 /* Guards against keeping a client waiting beyond the route's timeout, and against reporting "not run" for a
@@ -401,6 +460,10 @@
     { "request_that_no_server_accepted_is_reported_as_not_run",
       request_that_no_server_accepted_is_reported_as_not_run },
     { "oversized_response_is_not_forwarded", oversized_response_is_not_forwarded },
+    { "response_waits_for_room_and_keeps_it_until_it_is_taken",
+      response_waits_for_room_and_keeps_it_until_it_is_taken },
+    { "response_that_waits_for_room_ends_at_the_deadline",
+      response_that_waits_for_room_ends_at_the_deadline },
     { "request_that_was_sent_ends_with_504_at_the_deadline",
       request_that_was_sent_ends_with_504_at_the_deadline },
     { "client_disconnect_cancels_the_request", client_disconnect_cancels_the_request },
