--- a/src/relay/relay_attempt.c
+++ b/src/relay/relay_attempt.c
@@ -2,7 +2,6 @@
 
 #include <inttypes.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include <talloc.h>
@@ -340,65 +339,6 @@
   return true;
 }
 
-static void
-on_room_granted (void *data)
-{
-  Attempt *a = data;
-  Relay *r = a->relay;
-
-  log_event (LOG_LEVEL_INFO, "relay", "response_goes_on",
-             "id=%s server=%s waited_ms=%" PRId64 " bytes=%zu", r->request->id, r->server,
-             timers_now_ms (r->deps->timers) - a->waits_since_ms, a->body_len);
-  a->waits_since_ms = 0;
-  if (a->call)
-    backend_resume (a->call);
-}
-
-/* @return the most bytes that the body can have. */
-static size_t
-most_body_bytes (const Relay *r, const Attempt *a)
-{
-  const char *text = backend_header (a->call, "Content-Length");
-  unsigned long long length = text ? strtoull (text, NULL, 10) : 0;
-  size_t most = r->deps->max_response_bytes;
-
-  return text && length < most ? (size_t)length : most;
-}
-
-static void
-wait_for_room (Relay *r, Attempt *a)
-{
-  if (a->waits_since_ms > 0)
-    return;
-  a->waits_since_ms = timers_now_ms (r->deps->timers);
-  counter_add (relay_counters ()->responses_waited, 1);
-  log_event (LOG_LEVEL_INFO, "relay", "response_waits",
-             "id=%s server=%s account=%s most_bytes=%zu held_bytes=%zu", r->request->id, r->server,
-             r->request->account ? r->request->account : "-", most_body_bytes (r, a),
-             response_room_used_bytes (r->deps->response_room));
-}
-
-static BackendFlow
-buffer_body (Relay *r, Attempt *a, const char *bytes, size_t len)
-{
-  if (a->body_len + len > r->deps->max_response_bytes)
-    {
-      a->check = RESPONSE_INVALID;
-      return BACKEND_ABORT;
-    }
-  if (!a->claim)
-    a->claim = room_claim_new (a, r->deps->response_room, r->request->account, on_room_granted, a);
-  if (!room_claim_reserve (a->claim, a->body_len + len, most_body_bytes (r, a)))
-    {
-      wait_for_room (r, a);
-      return BACKEND_PAUSE;
-    }
-  a->body = talloc_realloc_size (a, a->body, a->body_len + len);
-  memcpy (a->body + a->body_len, bytes, len);
-  a->body_len += len;
-  return BACKEND_CONTINUE;
-}
-
 static BackendFlow
 on_body (void *data, const char *bytes, size_t len)
 {
@@ -408,7 +348,7 @@
     return BACKEND_ABORT;
   if (a->streaming)
     return relay_stream_bytes (a->relay, a, bytes, len);
-  return buffer_body (a->relay, a, bytes, len);
+  return relay_buffer_body (a->relay, a, bytes, len);
 }
 
 static void
--- a/src/relay/relay_finish.c
+++ b/src/relay/relay_finish.c
@@ -240,22 +240,6 @@
   return a->headers;
 }
 
-/* The room is taken until the client has the response. */
-static void
-keep_room (Relay *r, Attempt *a)
-{
-  RoomClaim *claim = a->claim;
-
-  a->claim = NULL;
-  if (!claim)
-    return;
-  room_claim_settle (claim, a->body_len);
-  if (r->client && r->client->keep)
-    r->client->keep (r->client_data, claim);
-  else
-    talloc_free (claim);
-}
-
 void
 relay_finish_buffered (Relay *r, Attempt *a)
 {
@@ -269,7 +253,7 @@
   r->status = a->head.status;
   r->reason = ERR_NONE;
   r->usage = a->body_usage;
-  keep_room (r, a);
+  relay_keep_room (r, a);
   if (r->client)
     r->client->respond (r->client_data, a->head.status, headers, a->n_headers,
                         a->body ? a->body : "", a->body_len);
--- a/src/relay/relay_impl.h
+++ b/src/relay/relay_impl.h
@@ -1,5 +1,5 @@
 /* Internals of the relay: relay.c (budget, deadline, client), relay_attempt.c (server selection, backend
- * events, retries), relay_refusal.c (refusals of servers), relay_stream.c (stream events), relay_version.c (which version a stream is bound to), relay_resume.c (streams that are taken up), relay_cut.c (exchanges that were cut off), relay_end.c (responses that end with their connection), relay_overload.c (admission when there is too little room), relay_finish.c (final response, settlement, log). */
+ * events, retries), relay_refusal.c (refusals of servers), relay_body.c (bodies that are read whole), relay_stream.c (stream events), relay_version.c (which version a stream is bound to), relay_resume.c (streams that are taken up), relay_cut.c (exchanges that were cut off), relay_end.c (responses that end with their connection), relay_overload.c (admission when there is too little room), relay_finish.c (final response, settlement, log). */
 #pragma once
 
 #include "relay/charge.h"
@@ -209,6 +209,12 @@
 /* @return when the client of a request that ends with a 503 may return. */
 int64_t relay_return_ms (const Relay *r, ErrKind kind, int64_t default_ms);
 
+/* relay_body.c */
+/* @return BACKEND_PAUSE if there is no room for the bytes: the server is read on when there is. */
+BackendFlow relay_buffer_body (Relay *r, Attempt *a, const char *bytes, size_t len);
+/* The room is taken until the client has the response. */
+void relay_keep_room (Relay *r, Attempt *a);
+
 /* relay_stream.c */
 BackendFlow relay_stream_bytes (Relay *r, Attempt *a, const char *bytes, size_t len);
 
