--- a/tests/unit/test_promises.c
+++ b/tests/unit/test_promises.c
@@ -72,6 +72,30 @@
     }
 }
 
+/* The same behind another host, and at the server that gets the request after a true refusal of the first one. */
+static void
+neither_does_one_over_a_tunnel_or_at_a_later_attempt (void)
+{
+  for (size_t i = 0; i < N_UNPROVED * N_KINDS * 2; i++)
+    {
+      RelayFixture *f = relay_fixture_new (KINDS[i / 2 / N_UNPROVED]);
+      bool is_later = i % 2;
+
+      f->request.max_attempts = 1;
+      f->backend->indirect = !is_later;
+      relay_fixture_start (f);
+      if (is_later)
+        {
+          fake_backend_send_head (relay_fixture_last_call (f), 503, NOT_RUN_HEADERS);
+          fake_backend_end_response (relay_fixture_last_call (f));
+        }
+      answer (f, UNPROVED[i / 2 % N_UNPROVED], "server's own");
+      CU_ASSERT_EQUAL (f->backend->n_calls, is_later ? 2 : 1);
+      check_unknown (f);
+      relay_fixture_free (f);
+    }
+}
+
 /* Guards against a repeatable request that fails although another server could have answered it. */
 static void
 repeatable_request_is_sent_to_another_server (void)
@@ -284,6 +308,8 @@
   static const TestCase CASES[] = {
     { "server_that_does_not_say_so_promises_nothing",
       server_that_does_not_say_so_promises_nothing },
+    { "neither_does_one_over_a_tunnel_or_at_a_later_attempt",
+      neither_does_one_over_a_tunnel_or_at_a_later_attempt },
     { "repeatable_request_is_sent_to_another_server",
       repeatable_request_is_sent_to_another_server },
     { "last_attempt_promises_nothing_for_those_before",
