--- a/tests/procsoak/processes.c
+++ b/tests/procsoak/processes.c
@@ -251,8 +251,11 @@
   if (killed || !drained)
     h->killed_ms = soak_now_ms (s);
   if (!killed && !drained)
-    soak_violation (s, "process_exits_only_when_stopped", "", "host-%d status %x", i,
-                    (unsigned)status);
+    soak_violation (s, "process_exits_only_when_stopped", "",
+                    "host-%d status %x, seen %" PRId64
+                    " ms after its start, draining since %" PRId64 " ms",
+                    i, (unsigned)status, soak_now_ms (s) - h->started_ms,
+                    h->draining ? soak_now_ms (s) - h->drain_started_ms : -1);
 }
 
 static void
