--- a/src/http/client_impl.h
+++ b/src/http/client_impl.h
@@ -1,4 +1,5 @@
-/* Shared by client.c (libcurl multi on tevent) and exchange.c (one exchange). */
+/* Shared by client.c (libcurl multi on tevent) and the files of one exchange: exchange.c (its start, time limit and end), exchange_connection.c (its
+ * connection), exchange_read.c (what libcurl reads), exchange_response.c (what is known of its response). */
 #pragma once
 
 #include <curl/curl.h>
@@ -58,3 +59,32 @@
 
 /** Schedules client_reap() on the loop. */
 void client_schedule_reap (HttpClient *client);
+
+/* exchange.c */
+/** @return the time that is left, less than 0 if it is over. */
+int64_t exchange_time_left_ms (const HttpExchange *x, int64_t now);
+
+/* exchange_connection.c */
+/** @return the socket of the exchange's connection, or -1 if it has been closed. */
+int exchange_connection_fd (const HttpExchange *x);
+void exchange_shut_connection (HttpExchange *x);
+/** Callbacks of libcurl. */
+curl_socket_t exchange_open_socket (void *data, curlsocktype purpose,
+                                    struct curl_sockaddr *address);
+int exchange_close_socket (void *data, curl_socket_t fd);
+int exchange_on_before_request (void *data, char *remote_ip, char *local_ip, int remote_port,
+                                int local_port);
+
+/* exchange_read.c */
+void exchange_report_headers (HttpExchange *x);
+/** Callbacks of libcurl. */
+int exchange_on_progress (void *data, curl_off_t total, curl_off_t received, curl_off_t to_send,
+                          curl_off_t sent);
+size_t exchange_on_body (char *bytes, size_t size, size_t n, void *data);
+size_t exchange_on_header (char *bytes, size_t size, size_t n, void *data);
+
+/* exchange_response.c */
+/** @return the result of an exchange that has failed. */
+HttpResult exchange_failure (HttpExchange *x, bool timed_out);
+/** @return the result of an exchange that libcurl has completed. */
+HttpResult exchange_result (HttpExchange *x, CURLcode code);
